--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,246 @@
+//! What users ask: submit, poll, cancel. Any node answers by itself, from the state service.
+
+use crate::core::{EndRecord, JobRecord, never_runs};
+use crate::http::{Method, Request, Response};
+use crate::ids::{JobId, Mark};
+use crate::node::Node;
+use crate::runtime;
+use crate::state::{StateError, TxnEnd, end_key, job_key};
+use crate::time::Micros;
+use crate::wire::state::{Change, Condition, Stored};
+use crate::wire::user::{JobAnswer, JobSpec, JobState};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use tracing::{debug, warn};
+
+/// Final states never change, so a few of them are remembered.
+#[derive(Default)]
+pub struct Finals {
+    known: RefCell<(BTreeMap<JobId, EndRecord>, VecDeque<JobId>)>,
+}
+
+const MOST_FINALS: usize = 4096;
+
+impl Finals {
+    fn get(&self, id: &JobId) -> Option<EndRecord> {
+        self.known.borrow().0.get(id).copied()
+    }
+
+    fn add(&self, id: &JobId, end: EndRecord) {
+        let mut known = self.known.borrow_mut();
+        if known.0.insert(id.clone(), end).is_none() {
+            known.1.push_back(id.clone());
+        }
+        if known.1.len() > MOST_FINALS
+            && let Some(old) = known.1.pop_front()
+        {
+            known.0.remove(&old);
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    error: &'a str,
+}
+
+fn problem(status: u16, error: &str) -> Response {
+    Response::of(status, &Problem { error })
+}
+
+/// Undecidable now: said at once, with when to come back.
+fn later(why: &str) -> Response {
+    problem(503, why).retry_after(1)
+}
+
+/// Users and workers go elsewhere while this node alone can't reach the state service.
+pub fn healthz(node: &Node, request: &Request) -> Response {
+    if request.method != Method::Get {
+        return Response::empty(405);
+    }
+    if node.catalog.borrow().is_empty() {
+        return problem(503, "the machine types are not known yet");
+    }
+    Response::empty(200)
+}
+
+pub async fn jobs(node: &Rc<Node>, rest: &str, request: &Request) -> Response {
+    if rest.is_empty() {
+        return match request.method {
+            Method::Post => submit(node, &request.body).await,
+            _ => Response::empty(405),
+        };
+    }
+    let Some(rest) = rest.strip_prefix('/') else { return Response::empty(404) };
+    let (id, verb) = match rest.split_once('/') {
+        Some((id, "withdraw")) => (id, Method::Post),
+        Some(_) => return Response::empty(404),
+        None => (rest, Method::Get),
+    };
+    // No job can have another form of id.
+    let Some(id) = JobId::parse(id) else { return Response::empty(404) };
+    if request.method != verb {
+        return Response::empty(405);
+    }
+    let answer = if verb == Method::Get { poll(node, &id).await } else { cancel(node, &id).await };
+    answer.unwrap_or_else(|e| {
+        debug!(job = %id, error = %e, "not decidable now");
+        later("the state service did not answer")
+    })
+}
+
+/// A job's record, wherever it is.
+enum Lookup {
+    Unfinished(Stored<JobRecord>, Mark),
+    Finished(EndRecord),
+    Unreadable,
+    Missing,
+}
+
+/// Reads a job's record. A record only ever moves from `job/` to `end/`, so reading in this order
+/// can't miss it; only then is it truly missing. (Guards `forgotten` and `invented`.)
+async fn lookup(node: &Node, id: &JobId) -> Result<Lookup, StateError> {
+    if let Some(end) = node.finals.get(id) {
+        return Ok(Lookup::Finished(end));
+    }
+    if let Some((record, mark)) = node.state.get::<JobRecord>(&job_key(id)).await? {
+        return Ok(Lookup::Unfinished(record, mark));
+    }
+    Ok(match node.state.get::<EndRecord>(&end_key(id)).await? {
+        Some((Stored::Value(end), _)) => {
+            node.finals.add(id, end);
+            Lookup::Finished(end)
+        }
+        Some((Stored::Unreadable(_), _)) => {
+            warn!(job = %id, "unreadable final record");
+            Lookup::Unreadable
+        }
+        None => Lookup::Missing,
+    })
+}
+
+fn finished(id: &JobId, end: EndRecord) -> Response {
+    let done = (end.state == JobState::Done).then_some(end.done);
+    Response::of(200, &JobAnswer { id: id.as_str(), state: end.state, done, running: done.map(|_| 0) })
+}
+
+fn unfinished(node: &Node, id: &JobId, record: Option<JobRecord>) -> Response {
+    let done = record.map_or(0, |r| r.done.tidy(r.spec.tasks).count());
+    let mut answer = JobAnswer { id: id.as_str(), state: JobState::Queued, done: Some(done), running: Some(0) };
+    if let Some(leading) = node.leading()
+        && let Some(job) = leading.core.borrow().jobs.get(id)
+    {
+        answer.done = Some(job.done.count());
+        answer.running = Some(job.running);
+        if job.running > 0 {
+            answer.state = JobState::Running;
+        }
+    }
+    Response::of(200, &answer)
+}
+
+fn answer(node: &Node, id: &JobId, found: Lookup) -> Response {
+    match found {
+        Lookup::Finished(end) => finished(id, end),
+        Lookup::Unfinished(record, _) => {
+            if matches!(record, Stored::Unreadable(_)) {
+                warn!(job = %id, "unreadable record");
+            }
+            unfinished(node, id, record.readable())
+        }
+        Lookup::Unreadable => later("the job's record can't be read"),
+        Lookup::Missing => problem(404, "no such job"),
+    }
+}
+
+async fn poll(node: &Node, id: &JobId) -> Result<Response, StateError> {
+    Ok(answer(node, id, lookup(node, id).await?))
+}
+
+async fn submit(node: &Rc<Node>, body: &[u8]) -> Response {
+    let spec = match JobSpec::parse(body) {
+        Ok(s) => s,
+        Err(e) => return problem(400, &e),
+    };
+    let never = {
+        let types = node.catalog.borrow();
+        if types.is_empty() {
+            return later("the machine types are not known yet");
+        }
+        never_runs(&spec, &types, &node.config.zones, &node.config.teams)
+    };
+    let id = spec.id.clone();
+    let result = match never {
+        // An accepted job stays accepted, whatever the catalog says now.
+        Some(why) => match lookup(node, &id).await {
+            Ok(Lookup::Missing) => Ok(problem(422, &why)),
+            Ok(found) => Ok(answer(node, &id, found)),
+            Err(e) => Err(e),
+        },
+        None => accept(node, spec).await,
+    };
+    result.unwrap_or_else(|e| {
+        debug!(job = %id, error = %e, "not accepted now");
+        later("the state service did not answer")
+    })
+}
+
+/// Accepts a job: a write on the condition that there is no record of it, answered only once it
+/// is committed.
+async fn accept(node: &Node, spec: JobSpec) -> Result<Response, StateError> {
+    let id = spec.id.clone();
+    if let Some(end) = node.finals.get(&id) {
+        return Ok(finished(&id, end));
+    }
+    let record = JobRecord {
+        spec: Rc::new(spec),
+        accepted_us: runtime::time_of_day().0,
+        done: Default::default(),
+        term: Default::default(),
+    };
+    let conditions =
+        vec![Condition { key: job_key(&id), mark: Mark(0) }, Condition { key: end_key(&id), mark: Mark(0) }];
+    let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
+    match node.state.txn(conditions, changes).await? {
+        TxnEnd::Applied(_) => {
+            let answer = JobAnswer { id: id.as_str(), state: JobState::Queued, done: None, running: None };
+            Ok(Response::of(201, &answer))
+        }
+        TxnEnd::Failed(_) => match lookup(node, &id).await? {
+            // It can't have vanished: the user is to ask again.
+            Lookup::Missing => Ok(later("the job's record changed meanwhile")),
+            found => Ok(answer(node, &id, found)),
+        },
+    }
+}
+
+/// Cancels a job: its record moves to its final place, or the final state that it has is told.
+async fn cancel(node: &Node, id: &JobId) -> Result<Response, StateError> {
+    let started = runtime::now();
+    loop {
+        let (record, mark) = match lookup(node, id).await? {
+            Lookup::Unfinished(record, mark) => (record.readable(), mark),
+            found => return Ok(answer(node, id, found)),
+        };
+        let done = record.map_or(0, |r| r.done.count());
+        let end = EndRecord { state: JobState::Cancelled, done };
+        let conditions = vec![Condition { key: job_key(id), mark }, Condition { key: end_key(id), mark: Mark(0) }];
+        let changes =
+            vec![Change::Drop { key: job_key(id) }, Change::Put { key: end_key(id), value: end, lease: None }];
+        match node.state.txn(conditions, changes).await? {
+            TxnEnd::Applied(_) => {
+                node.finals.add(id, end);
+                if let Some(leading) = node.leading() {
+                    leading.core.borrow_mut().job_dropped(id);
+                    leading.bell.ring();
+                }
+                return Ok(finished(id, end));
+            }
+            // Its record changed meanwhile, by the leader's progress most likely.
+            TxnEnd::Failed(_) if runtime::now() < started + Micros::from_secs(2) => {}
+            TxnEnd::Failed(_) => return Ok(later("the job's record keeps changing")),
+        }
+    }
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,88 @@
+//! The cloud: typed requests within its rate.
+
+use crate::core::RentOutcome;
+use crate::http::{Client, Method};
+use crate::ids::MachineId;
+use crate::runtime;
+use crate::time::Micros;
+use crate::wire::cloud::{Catalog, Listed, MachineList, MachineType, Machines, Rent};
+use crate::wire::{decode, encode};
+use std::cell::Cell;
+use std::net::SocketAddr;
+
+pub struct Cloud {
+    client: Client,
+    /// Our share of the cloud's rate.
+    rps: f64,
+    next: Cell<Micros>,
+}
+
+const LIMIT: Micros = Micros::from_secs(8);
+const LIST_PAGE: u32 = 500;
+
+impl Cloud {
+    pub fn new(addr: SocketAddr, rps: f64) -> Cloud {
+        Cloud { client: Client::new(addr), rps: rps * 0.6, next: Cell::new(Micros::ZERO) }
+    }
+
+    /// Spaces requests out; every caller gets the next free moment. A burst of one second's
+    /// worth goes at once.
+    async fn pace(&self) {
+        let step = Micros::from_secs_f64(1.0 / self.rps);
+        let now = runtime::now();
+        let at = self.next.get().max(now.saturating_sub(Micros::from_secs(1)));
+        self.next.set(at + step);
+        if at > now {
+            runtime::sleep_until(at).await;
+        }
+    }
+
+    pub async fn catalog(&self) -> Option<Vec<MachineType>> {
+        self.pace().await;
+        let r = self.client.send(Method::Get, "/catalog", &[], LIMIT).await.ok()?;
+        (r.status == 200).then(|| decode::<Catalog>(&r.body).ok()).flatten().map(|c| c.types)
+    }
+
+    pub async fn rent(&self, rent: &Rent<'_>) -> RentOutcome {
+        self.pace().await;
+        match self.client.send(Method::Post, "/machines", &encode(rent), LIMIT).await {
+            Ok(r) if r.status == 200 => {
+                decode::<Machines>(&r.body).map_or(RentOutcome::Unsure, |m| RentOutcome::Rented(m.machines))
+            }
+            // Both "no capacity" and "trouble" come as 503.
+            Ok(r) if r.status == 503 && !has_word(&r.body, b"trouble") => RentOutcome::NoCapacity,
+            Ok(r) if r.status == 400 => RentOutcome::NoCapacity,
+            _ => RentOutcome::Unsure,
+        }
+    }
+
+    /// True once the cloud has confirmed that the machines are gone.
+    pub async fn delete(&self, ids: Vec<MachineId>) -> bool {
+        self.pace().await;
+        let body = encode(&Machines { machines: ids });
+        matches!(self.client.send(Method::Post, "/machines/delete", &body, LIMIT).await, Ok(r) if r.status == 200)
+    }
+
+    pub async fn list(&self) -> Option<Vec<Listed>> {
+        let mut all: Vec<Listed> = Vec::new();
+        loop {
+            self.pace().await;
+            let since = all.last().map_or(String::new(), |l| format!("since={}&", l.id));
+            let path = format!("/machines?{since}most={LIST_PAGE}");
+            let r = self.client.send(Method::Get, &path, &[], LIMIT).await.ok()?;
+            if r.status != 200 {
+                return None;
+            }
+            let page: MachineList = decode(&r.body).ok()?;
+            let more = page.more && !page.machines.is_empty();
+            all.extend(page.machines);
+            if !more {
+                return Some(all);
+            }
+        }
+    }
+}
+
+fn has_word(body: &[u8], word: &[u8]) -> bool {
+    body.windows(word.len()).any(|w| w == word)
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,167 @@
+//! Machines and what is known to be, or may be, on them.
+
+use super::amounts::Amounts;
+use crate::ids::{Attempt, JobId, MachineId, TaskId, Token};
+use crate::time::Micros;
+use crate::wire::user::JobSpec;
+use crate::wire::worker::{ExitReason, TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Rented, its worker has not reported yet.
+    Booting,
+    /// Its worker reports.
+    Up,
+    /// Its worker's lease has lapsed: everything on it is gone.
+    Lost,
+}
+
+/// An attempt on a machine, from its start command until the worker no longer lists it.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub state: SlotState,
+    /// What it takes and of which job, kept here because it must be charged until it is proven
+    /// gone, even when its job is over. `None`: a job that the ledger doesn't know.
+    pub spec: Option<Rc<JobSpec>>,
+    /// The start command went out with the answer to this report (session, seq).
+    pub offered: Option<(u64, u64)>,
+    /// A direct start command is under way.
+    pub direct: bool,
+    /// A direct start command got no answer: it may be executed at any later time of this session.
+    pub doubtful: bool,
+    pub stop: Option<Stop>,
+    /// When it was commanded, or first seen.
+    pub since: Micros,
+    /// When it was first seen running.
+    pub running_since: Option<Micros>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotState {
+    /// Commanded; no report has shown it yet.
+    Sent,
+    Live(TaskState),
+    Ended(ExitReason),
+}
+
+/// An order to stop.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Stop {
+    pub grace_s: f64,
+}
+
+impl Slot {
+    pub fn is_live(&self) -> bool {
+        !matches!(self.state, SlotState::Ended(_))
+    }
+
+    pub fn amounts(&self) -> Amounts {
+        self.spec.as_ref().map_or(Amounts::default(), |s| Amounts::of_task(s))
+    }
+}
+
+pub struct Machine {
+    pub id: MachineId,
+    pub address: Option<std::net::SocketAddr>,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub phase: Phase,
+    pub session: u64,
+    pub seq: u64,
+    pub token_seen: Token,
+    /// Rented by this leader: no earlier holder can have commanded it.
+    pub ours: bool,
+    pub last_seen: Micros,
+    /// By now the session has ended, unless we answer another of its reports.
+    pub lease_end: Micros,
+    /// When the cloud takes it away.
+    pub notice: Option<Micros>,
+    pub slots: BTreeMap<(TaskId, Attempt), Slot>,
+    /// Most recently used last.
+    pub images: Vec<(String, f64)>,
+    pub rented_at: Micros,
+    pub idle_since: Option<Micros>,
+    /// Jobs whose tasks failed here since one last succeeded here.
+    pub failed_jobs: BTreeSet<JobId>,
+    pub failures: u32,
+    /// Judged faulty: nothing more is placed on it, and it is returned.
+    pub faulty: bool,
+    /// A refused start: nothing is placed here before this.
+    pub cool_until: Micros,
+    /// It stands in the register of machines that may hold tasks.
+    pub registered: bool,
+    /// A deletion is wanted or under way.
+    pub deleting: bool,
+    pub delete_sent: bool,
+    /// Orders changed since they were last sent.
+    pub orders_changed: bool,
+    pub direct_open: bool,
+    pub direct_retry_at: Micros,
+}
+
+impl Machine {
+    pub fn new(id: MachineId, machine_type: String, zone: String, spot: bool, now: Micros) -> Machine {
+        Machine {
+            id,
+            address: None,
+            machine_type,
+            zone,
+            spot,
+            phase: Phase::Booting,
+            session: 0,
+            seq: 0,
+            token_seen: Token(0),
+            ours: false,
+            last_seen: now,
+            lease_end: Micros::ZERO,
+            notice: None,
+            slots: BTreeMap::new(),
+            images: Vec::new(),
+            rented_at: now,
+            idle_since: None,
+            failed_jobs: BTreeSet::new(),
+            failures: 0,
+            faulty: false,
+            cool_until: Micros::ZERO,
+            registered: false,
+            deleting: false,
+            delete_sent: false,
+            orders_changed: false,
+            direct_open: false,
+            direct_retry_at: Micros::ZERO,
+        }
+    }
+
+    /// Commands of earlier holders can no longer be executed on it.
+    pub fn settled(&self, token: Token) -> bool {
+        self.ours || self.token_seen >= token
+    }
+
+    pub fn used(&self) -> Amounts {
+        self.slots.values().filter(|s| s.is_live()).fold(Amounts::default(), |a, s| a + s.amounts())
+    }
+
+    pub fn has_live(&self) -> bool {
+        self.slots.values().any(Slot::is_live)
+    }
+
+    /// Notes that an image is in the machine's cache of `capacity` GB.
+    pub fn touch_image(&mut self, image: &str, gb: f64, capacity: f64) {
+        if self.images.last().is_some_and(|(i, _)| i == image) {
+            return;
+        }
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.to_owned(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, g)| g).sum();
+        while total > capacity && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+}
--- /dev/null
+++ b/src/core/job.rs
@@ -0,0 +1,112 @@
+//! A job in the leader's ledger, and its record in the state service.
+
+use super::ranges::Ranges;
+use crate::ids::{Attempt, MachineId, Mark};
+use crate::time::Micros;
+use crate::wire::user::{JobKind, JobSpec, JobState};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// The record of an unfinished job, under `job/ID`. It outlives every attempt and every leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: Rc<JobSpec>,
+    /// Time of day at which it was accepted, in microseconds.
+    pub accepted_us: u64,
+    #[serde(default)]
+    pub done: Ranges,
+    /// The attempt of the latest gang placement; 0: none.
+    #[serde(default)]
+    pub term: Attempt,
+}
+
+/// The record of a finished job, under `end/ID`; kept for good.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct EndRecord {
+    pub state: JobState,
+    #[serde(default)]
+    pub done: u32,
+}
+
+/// A job that the leader looks after.
+pub struct Job {
+    pub spec: Rc<JobSpec>,
+    pub accepted_us: u64,
+    /// Of the record as last seen.
+    pub mark: Mark,
+    /// Accepted before this leader's token: an earlier holder may have started its tasks.
+    pub inherited: bool,
+    pub done: Ranges,
+    /// What the record says is done: only this may be reaped from workers.
+    pub recorded: Ranges,
+    /// Attempt of the current gang placement.
+    pub term: Attempt,
+    pub recorded_term: Attempt,
+    /// Some task of the current gang placement has been seen running.
+    pub gang_started: bool,
+    /// The current gang placement is being wound up: all its tasks must be gone before the next.
+    pub gang_failing: bool,
+    /// Attempts that hold a place: from their command until their proven exit.
+    pub places: BTreeMap<u32, Vec<(MachineId, Attempt)>>,
+    pub running: u32,
+    /// Machines on which a task of this job failed since one last succeeded.
+    pub failed_on: BTreeSet<MachineId>,
+    pub failures: u32,
+    /// Not to be started before this.
+    pub hold_until: Micros,
+    /// A write of its record is under way.
+    pub writing: bool,
+    /// First seen by this leader.
+    pub seen_at: Micros,
+    /// Why its tasks wait, for operators.
+    pub waits_for: &'static str,
+}
+
+impl Job {
+    pub fn new(record: JobRecord, mark: Mark, inherited: bool, now: Micros) -> Job {
+        let done = record.done.tidy(record.spec.tasks);
+        Job {
+            accepted_us: record.accepted_us,
+            mark,
+            inherited,
+            recorded: done.clone(),
+            done,
+            term: record.term,
+            recorded_term: record.term,
+            gang_started: false,
+            gang_failing: false,
+            places: BTreeMap::new(),
+            running: 0,
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            hold_until: Micros::ZERO,
+            writing: false,
+            seen_at: now,
+            waits_for: "its first placement",
+            spec: record.spec,
+        }
+    }
+
+    pub fn record(&self) -> JobRecord {
+        JobRecord {
+            spec: self.spec.clone(),
+            accepted_us: self.accepted_us,
+            done: self.done.clone(),
+            term: self.term,
+        }
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.spec.kind != JobKind::Service && self.done.count() == self.spec.tasks
+    }
+
+    /// Something about it is not recorded yet.
+    pub fn needs_write(&self) -> bool {
+        !self.writing && (self.done != self.recorded || self.term != self.recorded_term)
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.spec.kind == JobKind::Gang
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,315 @@
+//! The leader's decisions, without any I/O: events and the time go in, actions come out.
+//!
+//! - [`job`], [`fleet`]: the ledger of jobs and machines.
+//! - `check`: the three-way check of a task's recorded previous attempt.
+//! - `reports`: workers' reports rebuild and update the ledger; orders answer them.
+//! - `plan`: placement inside the leased blocks, and the demand for machines.
+//! - `rent`: renting and returning machines.
+//! - `records`: what must be written to the state service, in batches.
+
+mod amounts;
+mod check;
+mod fleet;
+mod job;
+mod plan;
+mod ranges;
+mod records;
+mod rent;
+mod reports;
+
+pub use amounts::{Amounts, Team, never_runs};
+pub use check::Verdict;
+pub use fleet::{Machine, Phase, Slot, SlotState};
+pub use job::{EndRecord, Job, JobRecord};
+pub use ranges::Ranges;
+pub use records::{Batch, BatchError, MachineRecord, Write};
+pub use rent::RentOutcome;
+pub use reports::Answer;
+
+use crate::ids::{Attempt, JobId, MachineId, Mark, Token};
+use crate::settings::Settings;
+use crate::time::Micros;
+use crate::wire::cloud::MachineType;
+use crate::wire::worker::Order;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tracing::info;
+
+/// What the core needs to know of the settings.
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub report: Micros,
+    pub lease: Micros,
+    pub gang_wait: Micros,
+    pub gang_peer: Micros,
+    pub list_lag: Micros,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub write_rps: f64,
+    /// Longest time in which an old holder's answer can still reach a worker, and then some.
+    pub margin: Micros,
+}
+
+impl Config {
+    pub fn of(s: &Settings) -> Config {
+        let f = &s.facts;
+        Config {
+            zones: f.zones.clone(),
+            teams: f
+                .teams
+                .iter()
+                .map(|t| Team {
+                    name: t.name.clone(),
+                    cpus: t.cpus,
+                    cpus_max: t.cpus_max,
+                    gpus: t.gpus,
+                    gpus_max: t.gpus_max,
+                })
+                .collect(),
+            report: Micros::from_secs_f64(f.workers.report_s),
+            lease: Micros::from_secs_f64(f.workers.lease_s),
+            gang_wait: Micros::from_secs_f64(f.workers.gang_wait_s),
+            gang_peer: Micros::from_secs_f64(f.workers.gang_peer_s),
+            list_lag: Micros::from_secs_f64(f.cloud.list_lag_s),
+            value_bytes: (f.state.value_kb * 1024.0) as usize,
+            txn_ops: f.state.txn_ops as usize,
+            write_rps: f.state.write_rps,
+            margin: Micros::from_millis(500),
+        }
+    }
+
+    /// A worker's lease is over this long after we last answered it.
+    pub fn lease_bound(&self) -> Micros {
+        self.lease.with_drift() + self.margin
+    }
+
+    /// At most this many unfinished tasks of a job are looked at, lowest numbers first. So the
+    /// ranges of done tasks never fragment into more parts than this, and a record always fits
+    /// its value: each part takes at most 14 characters ("[99999,99999],").
+    pub fn window(&self) -> usize {
+        (self.value_bytes.saturating_sub(3584) / 14).max(16)
+    }
+}
+
+/// What the core wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    Rent {
+        request: String,
+        machine_type: String,
+        zone: String,
+        spot: bool,
+        count: u32,
+    },
+    Delete {
+        machines: Vec<MachineId>,
+    },
+    /// Read the job's record again: a write of it failed or went unanswered.
+    Reread {
+        job: JobId,
+    },
+    /// Send orders straight to a worker.
+    Direct {
+        machine: MachineId,
+        address: std::net::SocketAddr,
+        session: u64,
+        orders: Vec<Order>,
+    },
+}
+
+pub struct Core {
+    pub cfg: Config,
+    /// Says that we are entitled to command; the revision at which the blocks were granted to us.
+    pub token: Token,
+    /// When we learned of the grant.
+    started: Micros,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub types: Vec<MachineType>,
+    /// Machines that are gone for certain: the cloud confirmed their deletion.
+    gone: BTreeSet<MachineId>,
+    recovering: bool,
+    counter: u64,
+    rents: rent::Rents,
+    writes: records::Writes,
+    actions: VecDeque<Action>,
+    changed: bool,
+    next_plan: Micros,
+}
+
+impl Core {
+    /// Takes over: `jobs` and `register` are as read after the grant of `token`.
+    pub fn new(
+        cfg: Config,
+        token: Token,
+        jobs: Vec<(JobId, JobRecord, Mark)>,
+        register: Vec<(MachineId, MachineRecord)>,
+        now: Micros,
+    ) -> Core {
+        let mut core = Core {
+            writes: records::Writes::new(&cfg, now),
+            cfg,
+            token,
+            started: now,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            types: Vec::new(),
+            gone: BTreeSet::new(),
+            recovering: !register.is_empty(),
+            counter: 0,
+            rents: rent::Rents::default(),
+            actions: VecDeque::new(),
+            changed: true,
+            next_plan: Micros::ZERO,
+        };
+        for (id, record, mark) in jobs {
+            core.job_seen(id, record, mark, now);
+        }
+        for (id, r) in register {
+            let mut m = Machine::new(id.clone(), r.machine_type, r.zone, r.spot, now);
+            m.registered = true;
+            // An earlier holder may have answered it until just before our grant.
+            m.lease_end = now + core.cfg.lease_bound();
+            core.machines.insert(id, m);
+        }
+        core
+    }
+
+    pub fn set_catalog(&mut self, types: Vec<MachineType>) {
+        if self.types != types {
+            self.types = types;
+            self.changed = true;
+        }
+    }
+
+    /// A job's record as the state service has it.
+    pub fn job_seen(&mut self, id: JobId, record: JobRecord, mark: Mark, now: Micros) {
+        match self.jobs.get_mut(&id) {
+            None => {
+                // Whatever was first written after our grant can't have been started by an earlier
+                // holder: its time was over before the grant was applied.
+                let inherited = mark.0 <= self.token.0;
+                let job = Job::new(record, mark, inherited, now);
+                let spec = job.spec.clone();
+                self.jobs.insert(id.clone(), job);
+                self.adopt_slots(&id, &spec);
+            }
+            Some(job) if mark > job.mark => {
+                let done = record.done.tidy(job.spec.tasks);
+                job.done.merge(&done);
+                job.recorded = done;
+                job.recorded_term = record.term;
+                job.mark = mark;
+            }
+            Some(_) => {}
+        }
+        self.changed = true;
+    }
+
+    /// The job's record is gone: it was cancelled, or we recorded its end ourselves.
+    pub fn job_dropped(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.remove(id) else { return };
+        for (index, places) in job.places {
+            for (machine, attempt) in places {
+                self.stop_slot(&machine, id, index, attempt, 0.0);
+            }
+        }
+        self.changed = true;
+    }
+
+    pub fn job_ids(&self) -> Vec<JobId> {
+        self.jobs.keys().cloned().collect()
+    }
+
+    /// The next action, if any.
+    pub fn next_action(&mut self) -> Option<Action> {
+        self.actions.pop_front()
+    }
+
+    /// Does what is due; to be called after events and at least every half second.
+    pub fn tick(&mut self, now: Micros) {
+        self.settle(now);
+        self.direct_orders(now);
+    }
+
+    /// All of a tick but the sending of direct orders.
+    fn settle(&mut self, now: Micros) {
+        self.lapse_leases(now);
+        self.note_recovery(now);
+        if self.changed || now >= self.next_plan {
+            self.changed = false;
+            self.next_plan = now + Micros::from_millis(500);
+            self.wind_up_gangs(now);
+            let demand = self.plan(now);
+            self.rent(demand, now);
+            self.return_idle(now);
+        }
+    }
+
+    /// True while tasks that nobody has reported may still be on a machine.
+    pub fn recovering(&self) -> bool {
+        self.recovering
+    }
+
+    /// Recovery ends when every machine in the register is accounted for: it reported after
+    /// having seen our token, its session has lapsed, or the cloud confirmed its deletion. Tasks
+    /// are only ever started on registered machines, so what nobody reported by then is nowhere.
+    /// (Guards `ran_twice` and `quota`.)
+    fn note_recovery(&mut self, now: Micros) {
+        if !self.recovering {
+            return;
+        }
+        let open = self.machines.values().filter(|m| m.registered && self.unaccounted(m)).count();
+        if open == 0 || now >= self.started + self.cfg.lease_bound() {
+            self.recovering = false;
+            self.changed = true;
+            info!(
+                token = self.token.0,
+                after_ms = (now - self.started).as_millis(),
+                unaccounted = open,
+                "recovered"
+            );
+        }
+    }
+
+    fn unaccounted(&self, m: &Machine) -> bool {
+        m.phase != Phase::Lost && !m.settled(self.token)
+    }
+
+    /// A number that no other start of any task has had: the token is unique and the counter is
+    /// ours alone.
+    fn new_attempt(&mut self) -> Attempt {
+        self.counter += 1;
+        Attempt((self.token.0 << 24) | (self.counter & 0xff_ffff))
+    }
+
+    fn new_request(&mut self) -> String {
+        self.counter += 1;
+        format!("hy-{}-{}", self.token, self.counter)
+    }
+
+    fn machine_type(&self, name: &str) -> Option<&MachineType> {
+        self.types.iter().find(|t| t.name == name)
+    }
+
+    /// Sessions end by themselves when we have not answered for long enough; then everything on
+    /// the machine is gone. (Guards `ran_twice`: not a moment earlier.)
+    fn lapse_leases(&mut self, now: Micros) {
+        let lapsed: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Lost && m.lease_end > Micros::ZERO && now >= m.lease_end)
+            .map(|m| m.id.clone())
+            .collect();
+        for id in lapsed {
+            let held = self.clear_slots(&id);
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.phase = Phase::Lost;
+                m.deleting = true;
+                info!(machine = %id, zone = %m.zone, spot = m.spot, tasks = held, "machine lost: its lease lapsed");
+            }
+            self.changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/rent.rs
@@ -0,0 +1,243 @@
+//! Renting machines for the demand, and returning those that stay idle.
+
+use super::fleet::{Machine, Phase};
+use super::{Action, Core};
+use crate::ids::MachineId;
+use crate::time::Micros;
+use crate::wire::cloud::{Listed, ListedState};
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::info;
+
+/// A kind of machine that can be rented.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Offer {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// What a plan found to be missing.
+pub struct Demand {
+    pub offers: BTreeMap<Offer, u32>,
+    pub wanted: BTreeSet<MachineId>,
+}
+
+/// How a rental request ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RentOutcome {
+    Rented(Vec<MachineId>),
+    NoCapacity,
+    /// Not executed for another reason, or no answer: the same request is to be sent again.
+    Unsure,
+}
+
+struct OpenRent {
+    offer: Offer,
+    count: u32,
+    tries: u32,
+    retry_at: Option<Micros>,
+}
+
+#[derive(Default)]
+struct Refusal {
+    until: Micros,
+    times: u32,
+}
+
+#[derive(Default)]
+pub struct Rents {
+    open: BTreeMap<String, OpenRent>,
+    refusals: BTreeMap<Offer, Refusal>,
+}
+
+impl Rents {
+    /// What is being rented right now.
+    pub fn open(&self) -> Vec<(Offer, u32)> {
+        self.open.values().map(|r| (r.offer.clone(), r.count)).collect()
+    }
+
+    pub fn refused(&self, offer: &Offer, now: Micros) -> bool {
+        self.refusals.get(offer).is_some_and(|r| now < r.until)
+    }
+
+    fn refuse(&mut self, offer: &Offer, now: Micros) {
+        let r = self.refusals.entry(offer.clone()).or_default();
+        r.times += 1;
+        r.until = now + Micros::from_secs(8u64 << (r.times - 1).min(2));
+    }
+}
+
+const MOST_PER_REQUEST: u32 = 50;
+const MOST_OPEN: usize = 4;
+const MOST_TRIES: u32 = 8;
+const MOST_PER_DELETE: usize = 100;
+
+impl Core {
+    pub(super) fn rent(&mut self, demand: Demand, now: Micros) {
+        for m in &demand.wanted {
+            if let Some(m) = self.machines.get_mut(m) {
+                m.idle_since = None;
+            }
+        }
+        let again: Vec<String> = self
+            .rents
+            .open
+            .iter()
+            .filter(|(_, r)| r.retry_at.is_some_and(|t| now >= t))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in again {
+            if let Some(r) = self.rents.open.get_mut(&name) {
+                r.retry_at = None;
+                self.actions.push_back(rent_action(&name, r));
+            }
+        }
+        for (offer, count) in demand.offers {
+            let busy = self.rents.open.values().any(|r| r.offer == offer);
+            if busy || self.rents.open.len() >= MOST_OPEN {
+                continue;
+            }
+            let request = self.new_request();
+            let open = OpenRent { offer, count: count.min(MOST_PER_REQUEST), tries: 0, retry_at: None };
+            self.actions.push_back(rent_action(&request, &open));
+            self.rents.open.insert(request, open);
+        }
+    }
+
+    /// A rental request ended.
+    pub fn rented(&mut self, request: &str, outcome: RentOutcome, now: Micros) {
+        let Some(open) = self.rents.open.get_mut(request) else { return };
+        self.changed = true;
+        match outcome {
+            RentOutcome::Rented(ids) => {
+                let Some(open) = self.rents.open.remove(request) else { return };
+                let o = open.offer;
+                info!(machine_type = %o.machine_type, zone = %o.zone, spot = o.spot, wanted = open.count, got = ids.len(), "rented");
+                if (ids.len() as u32) < open.count {
+                    self.rents.refuse(&o, now);
+                } else {
+                    self.rents.refusals.remove(&o);
+                }
+                for id in ids {
+                    if self.gone.contains(&id) {
+                        continue;
+                    }
+                    // A machine that we have rented ourselves was never commanded by anyone else.
+                    let m = self
+                        .machines
+                        .entry(id.clone())
+                        .or_insert_with(|| Machine::new(id, o.machine_type.clone(), o.zone.clone(), o.spot, now));
+                    m.ours = true;
+                }
+            }
+            RentOutcome::NoCapacity => {
+                if let Some(open) = self.rents.open.remove(request) {
+                    info!(machine_type = %open.offer.machine_type, zone = %open.offer.zone, spot = open.offer.spot, "no capacity");
+                    self.rents.refuse(&open.offer, now);
+                }
+            }
+            RentOutcome::Unsure => {
+                open.tries += 1;
+                if open.tries >= MOST_TRIES {
+                    // Should it have been executed, the machines show up in reports or the list.
+                    self.rents.open.remove(request);
+                } else {
+                    open.retry_at = Some(now + Micros::from_secs(1u64 << open.tries.min(3)));
+                }
+            }
+        }
+    }
+
+    /// The cloud confirmed a deletion: the machines and everything on them are gone.
+    pub fn deleted(&mut self, ids: &[MachineId]) {
+        for id in ids {
+            self.clear_slots(id);
+            if let Some(m) = self.machines.remove(id)
+                && m.registered
+            {
+                self.writes.unregister(id.clone());
+            }
+            self.gone.insert(id.clone());
+        }
+        self.changed = true;
+    }
+
+    /// A deletion was not confirmed: it is tried again.
+    pub fn delete_failed(&mut self, ids: &[MachineId]) {
+        for id in ids {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.delete_sent = false;
+            }
+        }
+    }
+
+    /// The cloud's list. It lags, so it never proves that a machine is not there.
+    pub fn listed(&mut self, list: &[Listed], now: Micros) {
+        for l in list {
+            if self.gone.contains(&l.id) {
+                continue;
+            }
+            let age = Micros::from_secs_f64(l.age_s);
+            let known = self.machines.contains_key(&l.id);
+            let m = self.machines.entry(l.id.clone()).or_insert_with(|| {
+                Machine::new(l.id.clone(), l.machine_type.clone(), l.zone.clone(), l.spot, now)
+            });
+            if !known {
+                m.rented_at = now - age;
+                self.changed = true;
+                info!(machine = %l.id, zone = %l.zone, spot = l.spot, "found an unknown machine");
+            }
+            if l.state == ListedState::Failed && !m.deleting {
+                // It stopped by itself; the deletion proves it.
+                m.deleting = true;
+                self.changed = true;
+                info!(machine = %l.id, zone = %l.zone, "machine failed");
+            }
+        }
+        // Keep the memory of deleted machines small: names come in creation order.
+        while self.gone.len() > 2000 {
+            self.gone.pop_first();
+        }
+    }
+
+    /// Returns machines that nobody needs, that are faulty, or that never came up.
+    pub(super) fn return_idle(&mut self, now: Micros) {
+        let idle_for = Micros::from_secs(40);
+        let mut returns = Vec::new();
+        let boots: BTreeMap<&str, Micros> =
+            self.types.iter().map(|t| (t.name.as_str(), Micros::from_secs_f64(t.boot_s))).collect();
+        for m in self.machines.values_mut() {
+            if !m.slots.is_empty() {
+                m.idle_since = None;
+            } else if m.idle_since.is_none() && m.phase == Phase::Up {
+                m.idle_since = Some(now);
+            }
+            let boot = boots.get(m.machine_type.as_str()).copied().unwrap_or(Micros::from_secs(60));
+            let never_up = m.phase == Phase::Booting && now >= m.rented_at + boot.times(4) + Micros::from_secs(30);
+            let idle = m.idle_since.is_some_and(|t| now >= t + idle_for) && !self.recovering;
+            let faulty = m.faulty && !m.has_live();
+            let unneeded = idle && !m.has_live();
+            if !m.deleting && (never_up || unneeded || faulty) {
+                m.deleting = true;
+                info!(machine = %m.id, zone = %m.zone, spot = m.spot, never_up, faulty, "returning machine");
+            }
+            if m.deleting && !m.delete_sent && returns.len() < MOST_PER_DELETE {
+                m.delete_sent = true;
+                returns.push(m.id.clone());
+            }
+        }
+        if !returns.is_empty() {
+            self.actions.push_back(Action::Delete { machines: returns });
+        }
+    }
+}
+
+fn rent_action(request: &str, r: &OpenRent) -> Action {
+    Action::Rent {
+        request: request.to_owned(),
+        machine_type: r.offer.machine_type.clone(),
+        zone: r.offer.zone.clone(),
+        spot: r.offer.spot,
+        count: r.count,
+    }
+}
--- /dev/null
+++ b/src/core/reports.rs
@@ -0,0 +1,483 @@
+//! Workers' reports: they rebuild and update the ledger, and are answered with orders.
+
+use super::fleet::{Machine, Phase, Slot, SlotState, Stop};
+use super::{Action, Core};
+use crate::ids::{Attempt, JobId, MachineId, TaskId, Token};
+use crate::time::Micros;
+use crate::wire::user::{JobKind, JobSpec};
+use crate::wire::worker::{ExitReason, Order, Report, TaskReport, TaskState};
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// What to answer to a report.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub token: Token,
+    pub orders: Vec<Order>,
+}
+
+impl Core {
+    /// A report came in on `/hello`; the answer renews the worker's lease.
+    pub fn report(&mut self, report: &Report, now: Micros) -> Answer {
+        let answer = |orders| Answer { token: self.token, orders };
+        // A late report of a machine that is gone.
+        if self.gone.contains(&report.machine) {
+            return answer(Vec::new());
+        }
+        let fresh = self.merge(report, true, now);
+        let lease_bound = self.cfg.lease_bound();
+        let mut orders = Vec::new();
+        if let Some(m) = self.machines.get_mut(&report.machine) {
+            // Counted from the answer, the worker counts from its earlier sending: we are never early.
+            m.lease_end = m.lease_end.max(now + lease_bound);
+        }
+        if fresh {
+            // Plan first, so that the orders go with this answer.
+            if self.changed {
+                self.settle(now);
+            }
+            orders = self.orders_for(&report.machine, Some((report.session, report.seq)), now);
+        }
+        self.changed = self.changed || fresh && self.recovering;
+        Answer { token: self.token, orders }
+    }
+
+    /// A worker answered direct orders (or refused them) with its report.
+    pub fn direct_answer(&mut self, machine: &MachineId, executed: bool, report: Option<&Report>, now: Micros) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.direct_open = false;
+            let answered = report.map(|r| (r.session, r.seq));
+            for slot in m.slots.values_mut().filter(|s| s.direct) {
+                slot.direct = false;
+                if executed && slot.offered < answered {
+                    slot.offered = answered;
+                }
+            }
+            if !executed {
+                m.direct_retry_at = now + Micros::from_millis(500);
+            }
+        }
+        if let Some(r) = report
+            && r.machine == *machine
+        {
+            self.merge(r, false, now);
+        }
+        self.changed = true;
+    }
+
+    /// Direct orders got no answer. If they may have been sent they may be executed late, at any
+    /// time of the session.
+    pub fn direct_failed(&mut self, machine: &MachineId, maybe_sent: bool, now: Micros) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.direct_open = false;
+            m.direct_retry_at = now + Micros::from_secs(3);
+            for slot in m.slots.values_mut().filter(|s| s.direct) {
+                slot.direct = false;
+                slot.doubtful |= maybe_sent;
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Takes over what a report says if it is newer than all before; true if so.
+    fn merge(&mut self, report: &Report, hello: bool, now: Micros) -> bool {
+        let id = &report.machine;
+        if self.gone.contains(id) {
+            return false;
+        }
+        if !self.machines.contains_key(id) {
+            if !hello {
+                return false;
+            }
+            // A machine that nobody told us of: an earlier leader's, or a late rental's.
+            let mut m =
+                Machine::new(id.clone(), report.machine_type.clone(), report.zone.clone(), report.spot, now);
+            m.lease_end = now + self.cfg.lease_bound();
+            self.machines.insert(id.clone(), m);
+        }
+        let Some(m) = self.machines.get_mut(id) else { return false };
+        // Reports can arrive late: only the newest counts.
+        if (report.session, report.seq) <= (m.session, m.seq) {
+            return false;
+        }
+        let new_session = report.session > m.session;
+        let back = m.phase != Phase::Up;
+        if back || report.tasks.len() != m.slots.len() {
+            self.changed = true;
+        }
+        m.session = report.session;
+        m.seq = report.seq;
+        m.token_seen = m.token_seen.max(report.token);
+        m.last_seen = now;
+        m.address = report.address.parse().ok();
+        m.spot = report.spot;
+        m.phase = Phase::Up;
+        if back && m.lease_end <= now {
+            m.lease_end = now + self.cfg.lease_bound();
+        }
+        let notice = report.notice_s.map(|s| now + Micros::from_secs_f64(s));
+        if notice.is_some() && m.notice.is_none() {
+            self.changed = true;
+            info!(machine = %id, zone = %m.zone, in_s = report.notice_s, "notice: machine will be taken");
+        }
+        m.notice = notice;
+        let (spot, zone) = (m.spot, m.zone.clone());
+        if back {
+            info!(machine = %id, zone = %zone, spot, session = report.session, "machine up");
+        }
+        if new_session {
+            // Everything of earlier sessions is gone, and so are their late direct orders.
+            self.clear_slots(id);
+        }
+        let mut listed = Vec::with_capacity(report.tasks.len());
+        for t in &report.tasks {
+            let Some(task) = TaskId::parse(&t.task) else {
+                warn!(machine = %id, task = %t.task, "report names a malformed task");
+                continue;
+            };
+            listed.push((task.clone(), t.attempt));
+            self.merge_task(id, task, t, now);
+        }
+        self.merge_absent(id, &listed, hello, report);
+        true
+    }
+
+    fn merge_task(&mut self, id: &MachineId, task: TaskId, t: &TaskReport, now: Micros) {
+        let key = (task, t.attempt);
+        let known = self.machines.get(id).is_some_and(|m| m.slots.contains_key(&key));
+        if !known {
+            // Reconnect: an attempt of an earlier holder, or one that we believed gone.
+            let spec = self.jobs.get(&key.0.job).map(|j| j.spec.clone());
+            let slot = Slot {
+                state: SlotState::Live(TaskState::Fetching),
+                spec,
+                offered: None,
+                direct: false,
+                doubtful: false,
+                stop: None,
+                since: now,
+                running_since: None,
+            };
+            if let Some(m) = self.machines.get_mut(id) {
+                m.slots.insert(key.clone(), slot);
+            }
+            self.place_add(id, &key.0, t.attempt);
+            self.changed = true;
+        }
+        let state = match (t.state, t.why) {
+            (TaskState::Ended, why) => SlotState::Ended(why.unwrap_or(ExitReason::Other)),
+            (s, _) => SlotState::Live(s),
+        };
+        let Some(slot) = self.machines.get_mut(id).and_then(|m| m.slots.get_mut(&key)) else { return };
+        let was = slot.state;
+        if matches!(was, SlotState::Ended(_)) || (known && was == state) {
+            return;
+        }
+        slot.state = state;
+        self.changed = true;
+        match state {
+            SlotState::Live(TaskState::Running) => {
+                slot.running_since.get_or_insert(now);
+                self.task_runs(id, &key.0, t.attempt);
+            }
+            SlotState::Ended(why) => self.task_ended(id, &key.0, t.attempt, why, now),
+            _ => {}
+        }
+        if !known {
+            self.judge_adopted(id, &key.0, t.attempt);
+        }
+    }
+
+    /// Decides whether an attempt that a worker reported unasked may go on.
+    fn judge_adopted(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            // Cancelled or done, or never accepted.
+            return self.stop_slot(id, &task.job, task.index, attempt, 0.0);
+        };
+        let surplus = job.places.get(&task.index).map_or(0, Vec::len) > 1;
+        if job.done.contains(task.index) || task.index >= job.spec.tasks || surplus {
+            return self.stop_slot(id, &task.job, task.index, attempt, 0.0);
+        }
+        if job.is_gang() {
+            // All tasks of a gang share their latest recorded attempt; others are being wound up.
+            if attempt > job.term {
+                job.term = attempt;
+            } else if attempt < job.term {
+                self.stop_slot(id, &task.job, task.index, attempt, 0.0);
+            }
+        }
+    }
+
+    fn task_runs(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            if job.is_gang() && attempt == job.term {
+                job.gang_started = true;
+            }
+            let (spec, gb) = (job.spec.clone(), job.spec.image_gb);
+            self.note_image(id, &spec.image, gb);
+        }
+    }
+
+    fn note_image(&mut self, id: &MachineId, image: &str, gb: f64) {
+        let Some(m) = self.machines.get(id) else { return };
+        let cache = self.machine_type(&m.machine_type).map_or(f64::MAX, |t| t.cache_gb);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.touch_image(image, gb, cache);
+        }
+    }
+
+    /// An attempt has ended by the worker's own word: its place is free.
+    fn task_ended(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, why: ExitReason, now: Micros) {
+        self.place_remove(id, task, attempt);
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        match why {
+            ExitReason::Done if job.spec.kind != JobKind::Service => {
+                if job.is_gang() {
+                    // Gangs complete together.
+                    job.done = super::Ranges::all(job.spec.tasks);
+                } else if task.index < job.spec.tasks {
+                    job.done.insert(task.index);
+                }
+                job.failed_on.clear();
+                job.failures = 0;
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.failed_jobs.clear();
+                    m.failures = 0;
+                }
+                let spec = self.jobs.get(&task.job).map(|j| j.spec.clone());
+                if let Some(s) = spec {
+                    self.note_image(id, &s.image, s.image_gb);
+                }
+            }
+            ExitReason::Error => self.task_failed(id, task, now),
+            ExitReason::NoRoom | ExitReason::Busy => {
+                // Our view of the machine was wrong: leave it alone until it has reported again.
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.cool_until = now + self.cfg.report.times(2);
+                }
+                warn!(machine = %id, task = %task, why = ?why, "start refused");
+            }
+            ExitReason::NoSuch => {
+                job.hold_until = now + Micros::from_secs(2);
+                warn!(machine = %id, task = %task, "start refused: the worker can't find the job");
+            }
+            _ => {}
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.is_gang()
+            && attempt == job.term
+            && why != ExitReason::Done
+        {
+            job.gang_failing = true;
+        }
+    }
+
+    /// Errors on several machines speak against the job, errors of several jobs against the
+    /// machine.
+    fn task_failed(&mut self, id: &MachineId, task: &TaskId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.failed_on.insert(id.clone());
+        job.failures += 1;
+        let machines = job.failed_on.len() as u32;
+        if machines >= 3 {
+            // Jobs that fail everywhere are started anew ever more rarely.
+            let wait = Micros::from_secs(10u64 << (machines - 3).min(4));
+            job.hold_until = now + wait;
+            info!(job = %task.job, machines, wait_s = wait.as_secs_f64(), "backoff: job fails on several machines");
+        }
+        let bad_job = machines >= 3;
+        if let Some(m) = self.machines.get_mut(id)
+            && !bad_job
+        {
+            m.failed_jobs.insert(task.job.clone());
+            m.failures += 1;
+            // A faulty machine fails at once and so would draw the whole queue: pause it first.
+            m.cool_until = now + Micros::from_secs(5);
+            if m.failed_jobs.len() >= 2 && !m.faulty {
+                m.faulty = true;
+                info!(machine = %id, zone = %m.zone, failures = m.failures, "machine judged faulty");
+            }
+        }
+    }
+
+    /// What the report does not list is gone, with one exception: a start that has not been
+    /// proven to be unexecuted.
+    fn merge_absent(&mut self, id: &MachineId, listed: &[(TaskId, Attempt)], hello: bool, report: &Report) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let now_id = (report.session, report.seq);
+        let absent: Vec<(TaskId, Attempt)> = m
+            .slots
+            .iter()
+            .filter(|(k, _)| !listed.contains(k))
+            .filter(|(_, s)| match s.state {
+                // One report is in flight at a time, so a newer report shows whether the orders
+                // that answered an older one were executed. A direct answer may overtake them.
+                SlotState::Sent => hello && !s.direct && !s.doubtful && s.offered.is_some_and(|o| o < now_id),
+                _ => true,
+            })
+            .map(|(k, _)| k.clone())
+            .collect();
+        for (task, attempt) in absent {
+            m.slots.remove(&(task.clone(), attempt));
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                remove_place(job, &task, id, attempt);
+            }
+            self.changed = true;
+        }
+    }
+
+    /// Forgets all that was on a machine; returns how many attempts held a place.
+    pub(super) fn clear_slots(&mut self, id: &MachineId) -> usize {
+        let Some(m) = self.machines.get_mut(id) else { return 0 };
+        let slots = std::mem::take(&mut m.slots);
+        m.orders_changed = false;
+        let mut held = 0;
+        for ((task, attempt), slot) in slots {
+            if slot.is_live() {
+                held += 1;
+            }
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                remove_place(job, &task, id, attempt);
+            }
+        }
+        if held > 0 {
+            self.changed = true;
+        }
+        held
+    }
+
+    /// A job appeared in the ledger of which workers have reported tasks already.
+    pub(super) fn adopt_slots(&mut self, id: &JobId, spec: &Rc<JobSpec>) {
+        let mut found = Vec::new();
+        for m in self.machines.values_mut() {
+            for ((task, attempt), slot) in &mut m.slots {
+                if task.job == *id && slot.spec.is_none() {
+                    slot.spec = Some(spec.clone());
+                    if slot.is_live() {
+                        found.push((m.id.clone(), task.clone(), *attempt));
+                    }
+                }
+            }
+        }
+        for (machine, task, attempt) in found {
+            self.place_add(&machine, &task, attempt);
+        }
+    }
+
+    pub(super) fn place_add(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.places.entry(task.index).or_default().push((id.clone(), attempt));
+        }
+    }
+
+    fn place_remove(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            remove_place(job, task, id, attempt);
+        }
+    }
+
+    /// Has an attempt stopped. One that was never offered to the worker just goes.
+    pub(super) fn stop_slot(&mut self, id: &MachineId, job: &JobId, index: u32, attempt: Attempt, grace_s: f64) {
+        let key = (TaskId { job: job.clone(), index }, attempt);
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(slot) = m.slots.get_mut(&key) else { return };
+        if slot.state == SlotState::Sent && slot.offered.is_none() && !slot.direct && !slot.doubtful {
+            m.slots.remove(&key);
+            return self.place_remove(id, &key.0, attempt);
+        }
+        let stop = Stop { grace_s };
+        // A stop is only ever made harsher.
+        if slot.is_live() && slot.stop.is_none_or(|s| grace_s < s.grace_s) {
+            slot.stop = Some(stop);
+            m.orders_changed = true;
+        }
+    }
+
+    /// The orders that bring a machine in line; all of them can be repeated.
+    fn orders_for(&mut self, id: &MachineId, answers: Option<(u64, u64)>, now: Micros) -> Vec<Order> {
+        let Some(m) = self.machines.get_mut(id) else { return Vec::new() };
+        m.orders_changed = false;
+        let may_start = m.registered && m.settled(self.token);
+        let mut orders = Vec::new();
+        for ((task, attempt), slot) in &mut m.slots {
+            let (name, attempt) = (task.to_string(), *attempt);
+            let job = self.jobs.get(&task.job);
+            match slot.state {
+                SlotState::Ended(why) => {
+                    let recorded = match job {
+                        Some(j) if why == ExitReason::Done && j.spec.kind != JobKind::Service => {
+                            j.recorded.contains(task.index)
+                        }
+                        _ => true,
+                    };
+                    // A result is reaped only once it is recorded, and an attempt whose start may
+                    // yet be executed late never: after a reap it would run again.
+                    if recorded && !slot.doubtful && !slot.direct {
+                        orders.push(Order::Forget { task: name, attempt });
+                    }
+                }
+                SlotState::Sent => {
+                    let gang_recorded = job.is_none_or(|j| !j.is_gang() || j.recorded_term >= attempt);
+                    match slot.stop {
+                        None if may_start && gang_recorded => {
+                            match answers {
+                                Some(a) => slot.offered = Some(a),
+                                None => slot.direct = true,
+                            }
+                            orders.push(Order::Start { task: name, attempt });
+                        }
+                        // It may be executed late unless the worker knows it as stopped already.
+                        Some(_) if slot.doubtful && now >= slot.since + Micros::from_secs(5) => {
+                            orders.push(Order::Start { task: name.clone(), attempt });
+                            orders.push(Order::Stop { task: name, attempt, grace_s: 0.0 });
+                        }
+                        Some(_) => orders.push(Order::Stop { task: name, attempt, grace_s: 0.0 }),
+                        None => {}
+                    }
+                }
+                SlotState::Live(state) => {
+                    if let Some(stop) = slot.stop
+                        && (state != TaskState::Saving || stop.grace_s == 0.0)
+                    {
+                        orders.push(Order::Stop { task: name, attempt, grace_s: stop.grace_s });
+                    }
+                }
+            }
+            // Answers to workers are bounded; the rest goes with the next.
+            if orders.len() >= 400 {
+                break;
+            }
+        }
+        orders
+    }
+
+    /// Sends new orders at once instead of with the answer to the next report.
+    pub(super) fn direct_orders(&mut self, now: Micros) {
+        let due: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.orders_changed && m.phase == Phase::Up && !m.direct_open && now >= m.direct_retry_at)
+            .filter(|m| m.settled(self.token) && m.address.is_some())
+            .map(|m| m.id.clone())
+            .collect();
+        for id in due {
+            let orders: Vec<Order> = self.orders_for(&id, None, now);
+            let Some(m) = self.machines.get_mut(&id) else { continue };
+            if let Some(address) = m.address
+                && !orders.is_empty()
+            {
+                m.direct_open = true;
+                self.actions.push_back(Action::Direct { machine: id, address, session: m.session, orders });
+            }
+        }
+    }
+}
+
+fn remove_place(job: &mut super::Job, task: &TaskId, id: &MachineId, attempt: Attempt) {
+    if let Some(places) = job.places.get_mut(&task.index) {
+        places.retain(|(m, a)| !(m == id && *a == attempt));
+        if places.is_empty() {
+            job.places.remove(&task.index);
+        }
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,100 @@
+//! The server: a routine per connection, with caps on connections, bodies and time.
+
+use super::message::{MAX_BODY, ReadError, Reader};
+use super::{Request, Response};
+use crate::runtime::{self, Cancel, TcpListener, TcpStream};
+use crate::time::Micros;
+use futures_util::future::LocalBoxFuture;
+use std::cell::Cell;
+use std::rc::Rc;
+use tracing::debug;
+
+/// What one server allows its peers.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub connections: usize,
+    /// An idle connection is closed after this.
+    pub idle: Micros,
+    /// A request must be complete this long after its first byte.
+    pub request: Micros,
+}
+
+type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response>>;
+
+/// Serves `listener` until cancelled.
+pub async fn serve(listener: TcpListener, limits: Limits, cancel: Cancel, handler: Handler) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok(s) => s,
+            Err(e) => {
+                // Out of sockets: wait for some to be closed.
+                debug!(error = %e, "accept failed");
+                runtime::sleep(Micros::from_millis(50)).await;
+                continue;
+            }
+        };
+        if open.get() >= limits.connections {
+            drop(stream);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let guard = Open(open.clone());
+        let handler = handler.clone();
+        runtime::spawn_until(cancel.clone(), async move {
+            let _guard = guard;
+            connection(stream, limits, handler).await;
+        });
+    }
+}
+
+struct Open(Rc<Cell<usize>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+#[derive(serde::Serialize)]
+struct Refusal<'a> {
+    error: &'a str,
+}
+
+async fn connection(stream: TcpStream, limits: Limits, handler: Handler) {
+    let mut reader = Reader::default();
+    loop {
+        if !reader.has_some() {
+            match runtime::timeout(limits.idle, reader.fill(&stream)).await {
+                Ok(Ok(())) => {}
+                _ => return,
+            }
+        }
+        let request = match runtime::timeout(limits.request, read(&mut reader, &stream)).await {
+            Ok(Ok(r)) => r,
+            Ok(Err(e @ (ReadError::Malformed(_) | ReadError::TooLarge))) => {
+                // 400 even for an oversized body: users retry any other status.
+                let refusal = Response::of(400, &Refusal { error: &e.to_string() }).closing();
+                let _ = runtime::timeout(limits.request, stream.write_all(&refusal.encode())).await;
+                return;
+            }
+            _ => return,
+        };
+        let close = request.close;
+        let mut response = handler(request).await;
+        response.close |= close;
+        match runtime::timeout(limits.request, stream.write_all(&response.encode())).await {
+            Ok(Ok(())) if !response.close => {}
+            _ => return,
+        }
+    }
+}
+
+async fn read(reader: &mut Reader, stream: &TcpStream) -> Result<Request, ReadError> {
+    let head = reader.head(stream, true).await?;
+    if head.expects_continue {
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+    let body = reader.body(stream, &head, MAX_BODY).await?;
+    Ok(Request { method: head.method, path: head.path, body, close: head.close })
+}
--- /dev/null
+++ b/src/lead.rs
@@ -0,0 +1,455 @@
+//! Leadership: one node leads, named by a key on its lease in the state service. It leases all
+//! blocks to itself, takes over the records, and runs the core.
+
+use crate::core::{Action, Batch, BatchError, Core, JobRecord, MachineRecord, Write};
+use crate::ids::{JobId, MachineId, Mark, Token};
+use crate::node::{Leading, Node};
+use crate::runtime::{self, Bell, Cancel};
+use crate::state::{FLEET, JOBS, LEADER, StateError, TxnEnd, block_key, end_key, fleet_key, job_key};
+use crate::time::Micros;
+use crate::wire::cloud::Rent;
+use crate::wire::state::{Change, Condition, Events, Pair, Stored};
+use crate::workers::Direct;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tracing::{debug, info, warn};
+
+/// The value of `leader` and of every `block/ZONE`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Holder {
+    node: String,
+}
+
+/// Longest wait of the leader's watch: how long news of a cancellation can take if an answer is
+/// lost.
+const WATCH: Micros = Micros::from_secs(2);
+
+fn jitter(most: Micros) -> Micros {
+    Micros(rand::random_range(0..=most.0))
+}
+
+/// Follows the leader key, and leads when nobody does.
+pub async fn run(node: Rc<Node>) {
+    let me = Holder { node: node.settings.node.clone() };
+    // A node that found itself cut off from the workers lets others lead first.
+    let mut shy_until = Micros::ZERO;
+    let mut fresh_start = true;
+    loop {
+        let (found, mark) = match node.state.get::<Holder>(LEADER).await {
+            Ok(Some((value, mark))) => (value.readable(), mark),
+            Ok(None) => (None, Mark(0)),
+            Err(e) => {
+                debug!(error = %e, "leader unknown");
+                runtime::sleep(Micros::from_millis(300) + jitter(Micros::from_millis(300))).await;
+                continue;
+            }
+        };
+        *node.leader.borrow_mut() = found.as_ref().map(|h| h.node.clone());
+        // Our former process is dead: nothing of it can command any more but what carries its
+        // token, so its lease need not run out.
+        let own_former = found.as_ref() == Some(&me);
+        let now = runtime::now();
+        if (mark == Mark(0) || own_former) && now >= shy_until {
+            if !own_former && !fresh_start {
+                runtime::sleep(jitter(Micros::from_millis(150))).await;
+            }
+            fresh_start = false;
+            if let Some(leading) = acquire(&node, &me, mark).await {
+                let starved = lead(&node, leading).await;
+                if starved {
+                    shy_until = runtime::now() + Micros::from_secs(12);
+                }
+            }
+            continue;
+        }
+        fresh_start = false;
+        // Wait until the key changes.
+        let wait = if mark == Mark(0) { Micros::from_secs(1) } else { Micros::from_secs(10) };
+        match node.state.changes::<Holder>(LEADER, mark.0.max(1), wait).await {
+            Ok(_) => {}
+            Err(_) => runtime::sleep(Micros::from_millis(200) + jitter(Micros::from_millis(300))).await,
+        }
+    }
+}
+
+/// Tries to become the leader and to lease all blocks; the revision of that write is the token.
+async fn acquire(node: &Rc<Node>, me: &Holder, mark: Mark) -> Option<(u64, Token, Micros)> {
+    let ttl = node.settings.leader_ttl();
+    let sent = runtime::now();
+    let lease = match node.state.grant(ttl).await {
+        Ok(l) => l,
+        Err(e) => {
+            debug!(error = %e, "no lease");
+            runtime::sleep(Micros::from_millis(300)).await;
+            return None;
+        }
+    };
+    let mut changes = vec![Change::Put { key: LEADER.to_owned(), value: me.clone(), lease: Some(lease) }];
+    for zone in &node.config.zones {
+        changes.push(Change::Put { key: block_key(zone), value: me.clone(), lease: Some(lease) });
+    }
+    match node.state.txn(vec![Condition { key: LEADER.to_owned(), mark }], changes).await {
+        Ok(TxnEnd::Applied(m)) => {
+            info!(token = m.0, blocks = ?node.config.zones, "leading: all blocks granted to this node");
+            Some((lease, Token(m.0), sent + ttl.less_drift()))
+        }
+        Ok(TxnEnd::Failed(_)) => {
+            let _ = node.state.release(lease).await;
+            None
+        }
+        // If it was executed after all, the lease's end takes it back.
+        Err(e) => {
+            debug!(error = %e, "leadership not decided");
+            let _ = node.state.release(lease).await;
+            runtime::sleep(Micros::from_millis(300)).await;
+            None
+        }
+    }
+}
+
+/// Leads until the lease is lost; true if it was given up for lack of reports.
+async fn lead(node: &Rc<Node>, (lease, token, until): (u64, Token, Micros)) -> bool {
+    *node.leader.borrow_mut() = Some(node.settings.node.clone());
+    // From the grant, not from the reading of the records: old holders had stopped by then.
+    let granted_at = runtime::now();
+    let cancel = Cancel::new();
+    let lease_until = Rc::new(Cell::new(until));
+    let lost = Bell::default();
+    runtime::spawn_until(
+        cancel.clone(),
+        keep_lease(node.clone(), lease, lease_until.clone(), lost.clone(), cancel.clone()),
+    );
+    let taken = cancel.run(take_over(node, token, granted_at)).await;
+    let Some(Some((core, revision))) = taken else {
+        cancel.cancel();
+        return false;
+    };
+    let now = runtime::now();
+    info!(token = token.0, jobs = core.jobs.len(), machines = core.machines.len(), "records read");
+    let leading = Rc::new(Leading {
+        core: RefCell::new(core),
+        lease,
+        lease_until: Cell::new(lease_until.get()),
+        heard_until: Cell::new(now + WATCH + node.settings.leader_ttl()),
+        last_report: Cell::new(now),
+        bell: Bell::default(),
+        write_bell: Bell::default(),
+        cancel: cancel.clone(),
+    });
+    *node.leading.borrow_mut() = Some(leading.clone());
+    runtime::spawn_until(cancel.clone(), watch_jobs(node.clone(), leading.clone(), revision));
+    runtime::spawn_until(cancel.clone(), write_records(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), list_machines(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), act(node.clone(), leading.clone()));
+    // Until the lease is lost, or no worker reaches us.
+    let starved = loop {
+        leading.lease_until.set(lease_until.get());
+        if cancel.is_cancelled() {
+            break false;
+        }
+        lost.wait_until(runtime::now() + Micros::from_millis(200)).await;
+        leading.lease_until.set(lease_until.get());
+        if starving(node, &leading) {
+            break true;
+        }
+    };
+    *node.leading.borrow_mut() = None;
+    cancel.cancel();
+    if starved {
+        info!(token = token.0, "giving up leadership: no worker reaches this node");
+        let _ = node.state.release(lease).await;
+        *node.leader.borrow_mut() = None;
+    } else {
+        info!(token = token.0, "leadership lost");
+    }
+    starved
+}
+
+/// Machines are up but none reports: this node is cut off from the workers, another may not be.
+fn starving(node: &Node, leading: &Leading) -> bool {
+    let quiet = (node.config.report.times(3)).max(Micros::from_secs(6));
+    let core = leading.core.borrow();
+    let expected = core.machines.values().filter(|m| m.registered && !m.deleting).count();
+    expected >= 2 && leading.entitled() && runtime::now() > leading.last_report.get() + quiet
+}
+
+async fn keep_lease(node: Rc<Node>, lease: u64, until: Rc<Cell<Micros>>, lost: Bell, cancel: Cancel) {
+    let ttl = node.settings.leader_ttl();
+    loop {
+        let sent = runtime::now();
+        match node.state.renew(lease, Micros::from_millis(1000)).await {
+            Ok(()) => {
+                // Counted from the sending, less the drift between the clocks.
+                until.set(sent + ttl.less_drift());
+                lost.ring();
+                runtime::sleep(Micros(ttl.0 / 4)).await;
+            }
+            Err(StateError::Gone) => {
+                cancel.cancel();
+                lost.ring();
+                return;
+            }
+            // Our lease may outlive an outage: try on until the service says that it is gone.
+            Err(e) => {
+                debug!(error = %e, "lease not renewed");
+                runtime::sleep(Micros::from_millis(250)).await;
+            }
+        }
+    }
+}
+
+async fn take_over(node: &Rc<Node>, token: Token, granted_at: Micros) -> Option<(Core, u64)> {
+    let (machines, _) = retry(|| node.state.list::<MachineRecord>(FLEET)).await?;
+    let (jobs, revision) = retry(|| node.state.list::<JobRecord>(JOBS)).await?;
+    let register = machines
+        .into_iter()
+        .filter_map(|p| {
+            let id = MachineId::new(p.key.strip_prefix(FLEET)?);
+            let record = p.value.readable().unwrap_or_else(|| {
+                warn!(machine = %id, "unreadable entry in the register");
+                MachineRecord { machine_type: String::new(), zone: String::new(), spot: false }
+            });
+            Some((id, record))
+        })
+        .collect();
+    let jobs = jobs.into_iter().filter_map(job_of).collect();
+    let mut core = Core::new(node.config.clone(), token, jobs, register, granted_at);
+    core.set_catalog(node.catalog.borrow().clone());
+    Some((core, revision))
+}
+
+fn job_of(pair: Pair<JobRecord>) -> Option<(JobId, JobRecord, Mark)> {
+    let id = JobId::parse(pair.key.strip_prefix(JOBS)?)?;
+    match pair.value {
+        Stored::Value(record) => Some((id, record, pair.mark)),
+        Stored::Unreadable(_) => {
+            // Never fatal, and the job still exists for its user.
+            warn!(job = %id, "unreadable record");
+            None
+        }
+    }
+}
+
+async fn retry<T, F, G>(mut f: F) -> Option<T>
+where
+    F: FnMut() -> G,
+    G: Future<Output = Result<T, StateError>>,
+{
+    for _ in 0..60 {
+        match f().await {
+            Ok(t) => return Some(t),
+            Err(e) => debug!(error = %e, "taking over"),
+        }
+        runtime::sleep(Micros::from_millis(250)).await;
+    }
+    None
+}
+
+/// Learns of jobs that other nodes accept or cancel.
+async fn watch_jobs(node: Rc<Node>, leading: Rc<Leading>, mut since: u64) {
+    let grace = WATCH + node.settings.leader_ttl();
+    loop {
+        let sent = runtime::now();
+        let result: Result<Events<JobRecord>, _> = node.state.changes(JOBS, since, WATCH).await;
+        match result {
+            Ok(events) => {
+                since = events.revision.max(since);
+                leading.heard_until.set(sent + grace);
+                let now = runtime::now();
+                let mut core = leading.core.borrow_mut();
+                let any = !events.events.is_empty();
+                for e in events.events {
+                    if let Some(id) = e.drop.as_deref().and_then(job_id_of) {
+                        core.job_dropped(&id);
+                    } else if let (Some(key), Some(value)) = (e.put, e.value)
+                        && let Some((id, record, mark)) = job_of(Pair { key, value, mark: e.mark })
+                    {
+                        core.job_seen(id, record, mark, now);
+                    }
+                }
+                drop(core);
+                if any {
+                    leading.bell.ring();
+                }
+            }
+            Err(StateError::Gone) => match node.state.list::<JobRecord>(JOBS).await {
+                Ok((pairs, revision)) => {
+                    let now = runtime::now();
+                    let mut core = leading.core.borrow_mut();
+                    let listed: std::collections::BTreeSet<JobId> =
+                        pairs.iter().filter_map(|p| job_id_of(&p.key)).collect();
+                    for id in core.job_ids().into_iter().filter(|id| !listed.contains(id)) {
+                        core.job_dropped(&id);
+                    }
+                    for (id, record, mark) in pairs.into_iter().filter_map(job_of) {
+                        core.job_seen(id, record, mark, now);
+                    }
+                    since = revision;
+                    leading.heard_until.set(sent + grace);
+                    leading.bell.ring();
+                }
+                Err(_) => runtime::sleep(Micros::from_millis(300)).await,
+            },
+            Err(e) => {
+                debug!(error = %e, "watch failed");
+                runtime::sleep(Micros::from_millis(200)).await;
+            }
+        }
+    }
+}
+
+fn job_id_of(key: &str) -> Option<JobId> {
+    JobId::parse(key.strip_prefix(JOBS)?)
+}
+
+/// Writes what the core wants recorded, one batch at a time.
+async fn write_records(node: Rc<Node>, leading: Rc<Leading>) {
+    loop {
+        let batch = {
+            let mut core = leading.core.borrow_mut();
+            if leading.entitled() { core.next_batch(runtime::now()) } else { None }
+        };
+        let Some(batch) = batch else {
+            let more = leading.core.borrow().has_writes();
+            let pause = if more { Micros::from_millis(50) } else { Micros::from_secs(1) };
+            leading.write_bell.wait_until(runtime::now() + pause).await;
+            continue;
+        };
+        let token = leading.core.borrow().token;
+        let result = commit(&node, token, &batch).await;
+        if result == Err(BatchError::Conflict(Vec::new())) {
+            // Only our grant itself can have failed: somebody else leads.
+            warn!(token = token.0, "a write found our grant gone");
+            leading.lease_until.set(Micros::ZERO);
+            leading.cancel.cancel();
+            return;
+        }
+        leading.core.borrow_mut().batch_ended(batch, result, runtime::now());
+        leading.bell.ring();
+    }
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Value<'a> {
+    Job(&'a JobRecord),
+    End(&'a crate::core::EndRecord),
+    Machine(&'a MachineRecord),
+}
+
+/// Every write is conditional on our grant, so that late ones of old holders fail.
+async fn commit(node: &Node, token: Token, batch: &Batch) -> Result<Mark, BatchError> {
+    let mut conditions = vec![Condition { key: LEADER.to_owned(), mark: Mark(token.0) }];
+    let mut changes = Vec::new();
+    for w in &batch.writes {
+        match w {
+            Write::Update { job, mark, record } => {
+                conditions.push(Condition { key: job_key(job), mark: *mark });
+                changes.push(Change::Put { key: job_key(job), value: Value::Job(record), lease: None });
+            }
+            Write::End { job, mark, end } => {
+                conditions.push(Condition { key: job_key(job), mark: *mark });
+                changes.push(Change::Drop { key: job_key(job) });
+                changes.push(Change::Put { key: end_key(job), value: Value::End(end), lease: None });
+            }
+            Write::Register { machine, record } => {
+                changes.push(Change::Put { key: fleet_key(machine), value: Value::Machine(record), lease: None });
+            }
+            Write::Unregister { machine } => changes.push(Change::Drop { key: fleet_key(machine) }),
+        }
+    }
+    match node.state.txn(conditions, changes).await {
+        Ok(TxnEnd::Applied(mark)) => Ok(mark),
+        Ok(TxnEnd::Failed(keys)) => {
+            if keys.iter().any(|k| k == LEADER) {
+                return Err(BatchError::Conflict(Vec::new()));
+            }
+            Err(BatchError::Conflict(keys.iter().filter_map(|k| job_id_of(k)).collect()))
+        }
+        Err(StateError::Refused(s)) => {
+            debug!(status = s, "records not written");
+            Err(BatchError::Refused)
+        }
+        Err(_) => Err(BatchError::Unknown),
+    }
+}
+
+/// The list shows failed machines and ones that nobody knows of.
+async fn list_machines(node: Rc<Node>, leading: Rc<Leading>) {
+    loop {
+        if let Some(list) = node.cloud.list().await {
+            leading.core.borrow_mut().listed(&list, runtime::now());
+            leading.bell.ring();
+        }
+        let pause = node.config.list_lag.max(Micros::from_secs(5));
+        runtime::sleep(pause + jitter(Micros::from_secs(1))).await;
+    }
+}
+
+/// Lets the core decide, and does what it wants done.
+async fn act(node: Rc<Node>, leading: Rc<Leading>) {
+    let direct = Rc::new(Direct::default());
+    loop {
+        if leading.entitled() {
+            let mut core = leading.core.borrow_mut();
+            core.tick(runtime::now());
+            let mut actions = Vec::new();
+            while let Some(a) = core.next_action() {
+                actions.push(a);
+            }
+            let (token, writes) = (core.token, core.has_writes());
+            drop(core);
+            for action in actions {
+                perform(&node, &leading, &direct, token, action);
+            }
+            if writes {
+                leading.write_bell.ring();
+            }
+        }
+        leading.bell.wait_until(runtime::now() + Micros::from_millis(250)).await;
+    }
+}
+
+/// Starts a routine for one action.
+fn perform(node: &Rc<Node>, leading: &Rc<Leading>, direct: &Rc<Direct>, token: Token, action: Action) {
+    let (node, l, direct) = (node.clone(), leading.clone(), direct.clone());
+    runtime::spawn_until(leading.cancel.clone(), async move {
+        match action {
+            Action::Rent { request, machine_type, zone, spot, count } => {
+                let rent = Rent { request: &request, machine_type: &machine_type, zone: &zone, spot, count };
+                let outcome = node.cloud.rent(&rent).await;
+                l.core.borrow_mut().rented(&request, outcome, runtime::now());
+            }
+            Action::Delete { machines } => {
+                if node.cloud.delete(machines.clone()).await {
+                    l.core.borrow_mut().deleted(&machines);
+                } else {
+                    runtime::sleep(Micros::from_secs(2)).await;
+                    l.core.borrow_mut().delete_failed(&machines);
+                }
+            }
+            Action::Reread { job } => match node.state.get::<JobRecord>(&job_key(&job)).await {
+                Ok(found) => {
+                    let found = found.map(|(v, mark)| (v.readable(), mark));
+                    match found {
+                        Some((Some(record), mark)) => {
+                            l.core.borrow_mut().reread(job, Some((record, mark)), runtime::now());
+                        }
+                        Some((None, _)) => warn!(job = %job, "unreadable record"),
+                        None => l.core.borrow_mut().reread(job, None, runtime::now()),
+                    }
+                }
+                Err(_) => {
+                    runtime::sleep(Micros::from_millis(300)).await;
+                    l.core.borrow_mut().reread_failed(job);
+                }
+            },
+            Action::Direct { machine, address, session, orders } => {
+                direct.send(&l, token, machine, address, session, orders).await;
+            }
+        }
+        l.bell.ring();
+        l.write_bell.ring();
+    });
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,148 @@
+//! A controller node: what its routines share, and how they are started.
+
+use crate::cloud::Cloud;
+use crate::core::{Config, Core};
+use crate::http::{self, Limits, Request, Response};
+use crate::runtime::{self, Bell, Cancel, TcpListener};
+use crate::settings::Settings;
+use crate::state::State;
+use crate::time::Micros;
+use crate::wire::cloud::MachineType;
+use crate::{api, lead, workers};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use tracing::{debug, info};
+
+pub struct Node {
+    pub settings: Settings,
+    pub config: Config,
+    pub state: State,
+    pub cloud: Cloud,
+    pub catalog: RefCell<Vec<MachineType>>,
+    /// The node that leads, as last seen.
+    pub leader: RefCell<Option<String>>,
+    /// Set while this node leads.
+    pub leading: RefCell<Option<Rc<Leading>>>,
+    pub finals: api::Finals,
+    pub cancel: Cancel,
+}
+
+/// What a leading node has.
+pub struct Leading {
+    pub core: RefCell<Core>,
+    pub lease: u64,
+    /// Our lease in the state service holds at least until then.
+    pub lease_until: Cell<Micros>,
+    /// We have heard of all cancellations up to a moment not long before this.
+    pub heard_until: Cell<Micros>,
+    /// When a worker last reported to us.
+    pub last_report: Cell<Micros>,
+    /// Rung when the core has changed.
+    pub bell: Bell,
+    /// Rung when something is to be written.
+    pub write_bell: Bell,
+    pub cancel: Cancel,
+}
+
+impl Leading {
+    /// We may command workers, and renew their leases. Past our lease another node may lead;
+    /// without news of cancellations we must not keep tasks alive. (Guards `ran_twice` and
+    /// `ran_cancelled`.)
+    pub fn entitled(&self) -> bool {
+        let now = runtime::now();
+        now < self.lease_until.get() && now < self.heard_until.get() && !self.cancel.is_cancelled()
+    }
+}
+
+impl Node {
+    pub fn new(settings: Settings) -> Node {
+        Node {
+            config: Config::of(&settings),
+            state: State::new(settings.endpoints.state),
+            cloud: Cloud::new(settings.endpoints.cloud, settings.facts.cloud.rps),
+            catalog: RefCell::default(),
+            leader: RefCell::default(),
+            leading: RefCell::default(),
+            finals: api::Finals::default(),
+            cancel: Cancel::new(),
+            settings,
+        }
+    }
+
+    pub fn leading(&self) -> Option<Rc<Leading>> {
+        self.leading.borrow().clone()
+    }
+}
+
+/// Serves until the process ends.
+pub fn serve(settings: Settings) -> io::Result<()> {
+    let listen = settings.listen;
+    let failed = Rc::new(RefCell::new(None));
+    let failure = failed.clone();
+    runtime::run(async move {
+        let listener = match TcpListener::bind(listen) {
+            Ok(l) => l,
+            Err(e) => {
+                *failure.borrow_mut() = Some(e);
+                return;
+            }
+        };
+        let node = Rc::new(Node::new(settings));
+        info!(node = %node.settings.node, zone = %node.settings.zone, "serving");
+        runtime::spawn_until(node.cancel.clone(), keep_catalog(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), lead::run(node.clone()));
+        let limits = Limits {
+            // Leave sockets for the state service, the cloud, workers and the mesh.
+            connections: node.settings.facts.limits.max_connections * 3 / 4,
+            idle: Micros::from_secs(90),
+            request: Micros::from_secs(10),
+        };
+        let handler = {
+            let node = node.clone();
+            Rc::new(move |request: Request| {
+                let node = node.clone();
+                Box::pin(async move { route(&node, request).await }) as _
+            })
+        };
+        http::serve(listener, limits, node.cancel.clone(), handler).await;
+    })?;
+    match failed.take() {
+        Some(e) => Err(io::Error::new(e.kind(), format!("serve_on {listen}: {e}"))),
+        None => Ok(()),
+    }
+}
+
+async fn route(node: &Rc<Node>, request: Request) -> Response {
+    let path = request.path.split('?').next().unwrap_or("");
+    match path {
+        "/healthz" => api::healthz(node, &request),
+        "/hello" => workers::report(node, &request),
+        _ => match path.strip_prefix("/api/jobs") {
+            Some(rest) => api::jobs(node, rest, &request).await,
+            None => Response::empty(404),
+        },
+    }
+}
+
+/// Every node needs the machine types to tell which jobs can run.
+async fn keep_catalog(node: Rc<Node>) {
+    loop {
+        let got = node.cloud.catalog().await;
+        let pause = match got {
+            Some(types) if !types.is_empty() => {
+                if let Some(l) = node.leading() {
+                    l.core.borrow_mut().set_catalog(types.clone());
+                    l.bell.ring();
+                }
+                *node.catalog.borrow_mut() = types;
+                Micros::from_secs(60)
+            }
+            _ => {
+                debug!("no catalog");
+                Micros::from_secs(2)
+            }
+        };
+        runtime::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,193 @@
+//! The state service: typed requests, and the keys under which records live.
+//!
+//! | key | what |
+//! | --- | --- |
+//! | `leader` | who leads, on the leader's lease |
+//! | `block/ZONE` | who holds a zone's machines, on the holder's lease |
+//! | `job/ID` | an unfinished job |
+//! | `end/ID` | a finished job, for good |
+//! | `fleet/ID` | a machine that tasks may be on |
+
+use crate::http::{Client, ClientError, Method, Response};
+use crate::ids::{JobId, MachineId, Mark};
+use crate::runtime;
+use crate::time::Micros;
+use crate::wire::state::{Applied, Change, Condition, Events, Failed, Grant, Granted, Page, Pair, Stored, Txn};
+use crate::wire::{decode, encode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use tracing::warn;
+
+pub const LEADER: &str = "leader";
+pub const JOBS: &str = "job/";
+pub const FLEET: &str = "fleet/";
+
+pub fn job_key(id: &JobId) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub fn end_key(id: &JobId) -> String {
+    format!("end/{id}")
+}
+
+pub fn fleet_key(id: &MachineId) -> String {
+    format!("{FLEET}{id}")
+}
+
+pub fn block_key(zone: &str) -> String {
+    format!("block/{zone}")
+}
+
+/// Why a request to the state service failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StateError {
+    /// Certainly not executed.
+    #[error("refused ({0})")]
+    Refused(u16),
+    /// It may have been executed, or may yet be.
+    #[error("no answer")]
+    Unknown,
+    /// The lease or the watched revision is no more.
+    #[error("gone")]
+    Gone,
+    #[error("unreadable answer: {0}")]
+    Malformed(String),
+}
+
+/// How a transaction ended.
+#[derive(Debug)]
+pub enum TxnEnd {
+    Applied(Mark),
+    /// These keys did not have the given marks.
+    Failed(Vec<String>),
+}
+
+/// A value with the mark of its last change.
+pub type Found<T> = Option<(Stored<T>, Mark)>;
+
+pub struct State {
+    client: Client,
+    last_answer: Cell<Micros>,
+}
+
+const READ_LIMIT: Micros = Micros::from_millis(1_500);
+const WRITE_LIMIT: Micros = Micros::from_millis(2_500);
+const PAGE: u32 = 200;
+
+impl State {
+    pub fn new(addr: SocketAddr) -> State {
+        State { client: Client::new(addr), last_answer: Cell::new(Micros::ZERO) }
+    }
+
+    /// When the service last answered us properly.
+    pub fn last_answer(&self) -> Micros {
+        self.last_answer.get()
+    }
+
+    async fn send(&self, method: Method, path: &str, body: &[u8], limit: Micros) -> Result<Response, StateError> {
+        match self.client.send(method, path, body, limit).await {
+            Ok(r) if matches!(r.status, 429 | 503) => Err(StateError::Refused(r.status)),
+            Ok(r) => {
+                self.last_answer.set(runtime::now());
+                Ok(r)
+            }
+            Err(ClientError::NotSent(_)) => Err(StateError::Refused(0)),
+            Err(ClientError::Unknown) => Err(StateError::Unknown),
+        }
+    }
+
+    pub async fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Found<T>, StateError> {
+        let r = self.send(Method::Get, &format!("/kv/{key}"), &[], READ_LIMIT).await?;
+        match r.status {
+            200 => {
+                let pair: Pair<T> = read(&r)?;
+                Ok(Some((pair.value, pair.mark)))
+            }
+            404 => Ok(None),
+            s => Err(StateError::Refused(s)),
+        }
+    }
+
+    /// All pairs under a prefix, and the revision as of the first page: watching from there on
+    /// misses nothing.
+    pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<(Vec<Pair<T>>, u64), StateError> {
+        let mut all: Vec<Pair<T>> = Vec::new();
+        let mut revision = None;
+        loop {
+            let since = all.last().map_or(String::new(), |p| format!("&since={}", p.key));
+            let path = format!("/kv?under={prefix}{since}&most={PAGE}");
+            let r = self.send(Method::Get, &path, &[], READ_LIMIT).await?;
+            if r.status != 200 {
+                return Err(StateError::Refused(r.status));
+            }
+            let page: Page<T> = read(&r)?;
+            revision.get_or_insert(page.revision);
+            let more = page.more && !page.pairs.is_empty();
+            all.extend(page.pairs);
+            if !more {
+                return Ok((all, revision.unwrap_or(0)));
+            }
+        }
+    }
+
+    pub async fn txn<V: Serialize>(
+        &self,
+        conditions: Vec<Condition>,
+        changes: Vec<Change<V>>,
+    ) -> Result<TxnEnd, StateError> {
+        let body = encode(&Txn { conditions, changes });
+        let r = self.send(Method::Post, "/multi", &body, WRITE_LIMIT).await?;
+        match r.status {
+            200 => Ok(TxnEnd::Applied(Mark(read::<Applied>(&r)?.revision))),
+            409 => Ok(TxnEnd::Failed(read::<Failed>(&r)?.failed)),
+            s => Err(StateError::Refused(s)),
+        }
+    }
+
+    pub async fn grant(&self, ttl: Micros) -> Result<u64, StateError> {
+        let body = encode(&Grant { ttl_ms: ttl.as_millis() });
+        let r = self.send(Method::Post, "/holds", &body, READ_LIMIT).await?;
+        match r.status {
+            200 | 201 => Ok(read::<Granted>(&r)?.lease),
+            s => Err(StateError::Refused(s)),
+        }
+    }
+
+    pub async fn renew(&self, lease: u64, limit: Micros) -> Result<(), StateError> {
+        let r = self.send(Method::Post, &format!("/holds/{lease}/renew"), &[], limit).await?;
+        match r.status {
+            200..=299 => Ok(()),
+            404 => Err(StateError::Gone),
+            s => Err(StateError::Refused(s)),
+        }
+    }
+
+    pub async fn release(&self, lease: u64) -> Result<(), StateError> {
+        self.send(Method::Delete, &format!("/holds/{lease}"), &[], READ_LIMIT).await.map(|_| ())
+    }
+
+    /// Waits for changes under a prefix after a revision, at most for `wait`.
+    pub async fn changes<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        since: u64,
+        wait: Micros,
+    ) -> Result<Events<T>, StateError> {
+        let path = format!("/changes?under={prefix}&since={since}&wait_ms={}", wait.as_millis());
+        let r = self.send(Method::Get, &path, &[], wait + Micros::from_millis(1_500)).await?;
+        match r.status {
+            200 => read(&r),
+            410 => Err(StateError::Gone),
+            s => Err(StateError::Refused(s)),
+        }
+    }
+}
+
+fn read<T: DeserializeOwned>(r: &Response) -> Result<T, StateError> {
+    decode(&r.body).map_err(|e| {
+        warn!(error = %e, "unreadable answer of the state service");
+        StateError::Malformed(e)
+    })
+}
--- /dev/null
+++ b/src/wire/state.rs
@@ -0,0 +1,123 @@
+//! The state service's interface. Values are opaque here.
+
+use crate::ids::Mark;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// A value as it stands in the store. One that cannot be read as `T` is kept as [`Stored::Unreadable`]:
+/// it is logged, never fatal and never taken for a missing key.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(untagged, bound = "T: DeserializeOwned")]
+pub enum Stored<T> {
+    Value(T),
+    Unreadable(serde::de::IgnoredAny),
+}
+
+impl<T> Stored<T> {
+    pub fn readable(self) -> Option<T> {
+        match self {
+            Stored::Value(v) => Some(v),
+            Stored::Unreadable(_) => None,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(bound = "T: DeserializeOwned")]
+pub struct Pair<T> {
+    #[serde(default)]
+    pub key: String,
+    #[serde(rename = "v")]
+    pub value: Stored<T>,
+    pub mark: Mark,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(bound = "T: DeserializeOwned")]
+pub struct Page<T> {
+    pub pairs: Vec<Pair<T>>,
+    #[serde(default)]
+    pub more: bool,
+    #[serde(rename = "tide")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+pub struct Condition {
+    pub key: String,
+    pub mark: Mark,
+}
+
+#[derive(Debug, Clone, Serialize)]
+#[serde(untagged, bound = "V: Serialize")]
+pub enum Change<V> {
+    Put {
+        #[serde(rename = "write")]
+        key: String,
+        #[serde(rename = "v")]
+        value: V,
+        #[serde(rename = "tether", skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Drop {
+        #[serde(rename = "drop")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Serialize)]
+#[serde(bound = "V: Serialize")]
+pub struct Txn<V> {
+    #[serde(rename = "when")]
+    pub conditions: Vec<Condition>,
+    #[serde(rename = "apply")]
+    pub changes: Vec<Change<V>>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Applied {
+    #[serde(rename = "tide")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Failed {
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Grant {
+    pub ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Granted {
+    #[serde(rename = "tether")]
+    pub lease: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(bound = "T: DeserializeOwned")]
+pub struct Events<T> {
+    #[serde(rename = "tide")]
+    pub revision: u64,
+    #[serde(default)]
+    pub events: Vec<Event<T>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(bound = "T: DeserializeOwned")]
+pub struct Event<T> {
+    #[serde(rename = "write", default)]
+    pub put: Option<String>,
+    #[serde(rename = "drop", default)]
+    pub drop: Option<String>,
+    #[serde(rename = "v", default = "none")]
+    pub value: Option<Stored<T>>,
+    pub mark: Mark,
+}
+
+fn none<T>() -> Option<T> {
+    None
+}
