--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -52,7 +52,8 @@
     pub running: u32,
     /// Machines on which a task of this job failed since one last succeeded.
     pub failed_on: BTreeSet<MachineId>,
-    pub failures: u32,
+    /// How often in a row it was held back for failing on several machines.
+    pub backoffs: u32,
     /// Not to be started before this.
     pub hold_until: Micros,
     /// A write of its record is under way.
@@ -79,7 +80,7 @@
             places: BTreeMap::new(),
             running: 0,
             failed_on: BTreeSet::new(),
-            failures: 0,
+            backoffs: 0,
             hold_until: Micros::ZERO,
             writing: false,
             seen_at: now,
@@ -106,6 +107,11 @@
         !self.writing && (self.done != self.recorded || self.term != self.recorded_term)
     }
 
+    /// Failed on several machines: the fault is its own most likely.
+    pub fn suspect(&self) -> bool {
+        self.failed_on.len() >= 3
+    }
+
     pub fn is_gang(&self) -> bool {
         self.spec.kind == JobKind::Gang
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -118,6 +118,8 @@
     },
 }
 
+const MOST_ENDED: usize = 4096;
+
 pub struct Core {
     pub cfg: Config,
     /// Says that we are entitled to command; the revision at which the blocks were granted to us.
@@ -129,6 +131,10 @@
     pub types: Vec<MachineType>,
     /// Machines that are gone for certain: the cloud confirmed their deletion.
     gone: BTreeSet<MachineId>,
+    /// Jobs whose record has left `job/`, oldest first. News of an earlier revision can arrive
+    /// later than that of the end (by another path): it must not bring the job back.
+    ended: VecDeque<JobId>,
+    ended_set: BTreeSet<JobId>,
     recovering: bool,
     counter: u64,
     rents: rent::Rents,
@@ -156,6 +162,8 @@
             machines: BTreeMap::new(),
             types: Vec::new(),
             gone: BTreeSet::new(),
+            ended: VecDeque::new(),
+            ended_set: BTreeSet::new(),
             recovering: !register.is_empty(),
             counter: 0,
             rents: rent::Rents::default(),
@@ -185,6 +193,9 @@
 
     /// A job's record as the state service has it.
     pub fn job_seen(&mut self, id: JobId, record: JobRecord, mark: Mark, now: Micros) {
+        if self.ended_set.contains(&id) {
+            return;
+        }
         match self.jobs.get_mut(&id) {
             None => {
                 // Whatever was first written after our grant can't have been started by an earlier
@@ -209,6 +220,14 @@
 
     /// The job's record is gone: it was cancelled, or we recorded its end ourselves.
     pub fn job_dropped(&mut self, id: &JobId) {
+        if self.ended_set.insert(id.clone()) {
+            self.ended.push_back(id.clone());
+            if self.ended.len() > MOST_ENDED
+                && let Some(old) = self.ended.pop_front()
+            {
+                self.ended_set.remove(&old);
+            }
+        }
         let Some(job) = self.jobs.remove(id) else { return };
         for (index, places) in job.places {
             for (machine, attempt) in places {
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -54,6 +54,8 @@
     id: JobId,
     spec: Rc<JobSpec>,
     task: Amounts,
+    /// It failed on several machines, so no machine is avoided for that.
+    suspect: bool,
     /// Places of the job's tasks by zone.
     zones: BTreeMap<String, u32>,
 }
@@ -217,7 +219,13 @@
                 *zones.entry(m.zone.clone()).or_default() += 1;
             }
         }
-        Some(Needs { id: id.clone(), spec: job.spec.clone(), task: Amounts::of_task(&job.spec), zones })
+        Some(Needs {
+            id: id.clone(),
+            spec: job.spec.clone(),
+            task: Amounts::of_task(&job.spec),
+            suspect: job.suspect(),
+            zones,
+        })
     }
 
     /// Arrays and services: each task for itself.
@@ -324,6 +332,7 @@
                 id: needs.id.clone(),
                 spec: needs.spec.clone(),
                 task: needs.task,
+                suspect: needs.suspect,
                 zones: needs.zones.clone(),
             };
             let mut taken = Vec::new();
@@ -356,7 +365,7 @@
         s.types.as_ref().is_none_or(|t| t.contains(&bin.machine_type))
             && s.zone.as_ref().is_none_or(|z| *z == bin.zone)
             && (s.spot || !bin.spot)
-            && !bin.failed_jobs.contains(&needs.id)
+            && (needs.suspect || !bin.failed_jobs.contains(&needs.id))
     }
 
     /// The job's zone rules allow one more task in this zone, given where its others are.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -239,7 +239,7 @@
                     job.done.insert(task.index);
                 }
                 job.failed_on.clear();
-                job.failures = 0;
+                job.backoffs = 0;
                 if let Some(m) = self.machines.get_mut(id) {
                     m.failed_jobs.clear();
                     m.failures = 0;
@@ -277,15 +277,15 @@
     fn task_failed(&mut self, id: &MachineId, task: &TaskId, now: Micros) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.failed_on.insert(id.clone());
-        job.failures += 1;
-        let machines = job.failed_on.len() as u32;
-        if machines >= 3 {
+        let bad_job = job.suspect();
+        if bad_job && now >= job.hold_until {
             // Jobs that fail everywhere are started anew ever more rarely.
-            let wait = Micros::from_secs(10u64 << (machines - 3).min(4));
+            let wait = Micros::from_secs(10u64 << job.backoffs.min(4));
+            job.backoffs += 1;
             job.hold_until = now + wait;
+            let machines = job.failed_on.len();
             info!(job = %task.job, machines, wait_s = wait.as_secs_f64(), "backoff: job fails on several machines");
         }
-        let bad_job = machines >= 3;
         if let Some(m) = self.machines.get_mut(id)
             && !bad_job
         {
--- a/src/runtime/net.rs
+++ b/src/runtime/net.rs
@@ -57,6 +57,10 @@
         Ok(TcpListener { socket, reg })
     }
 
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Waits for the next connection.
     pub async fn accept(&self) -> io::Result<TcpStream> {
         poll_fn(|cx| {
--- /dev/null
+++ b/tests/checks/mod.rs
@@ -0,0 +1,144 @@
+//! Scenario statements that need no world: bodies of requests, settings, and raw HTTP.
+
+use hopyoke::core::{Team, never_runs};
+use hopyoke::http::{self, Limits, Request, Response};
+use hopyoke::runtime::{self, Cancel, TcpListener, TcpStream};
+use hopyoke::settings::Settings;
+use hopyoke::time::Micros;
+use hopyoke::wire::cloud::MachineType;
+use hopyoke::wire::user::JobSpec;
+use serde_json::Value;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+const GOOD: &str = r#"{"id":"req-000412","berth":"train","crew":"crew","hull":"group","rank":"high","oars":4,
+ "cpus":8.0,"cards":1.0,"mem_gb":32.0,"cargo":"img-07","pull_gb":6.2,"rigs":["std"],"basin":null,
+ "together":true,"apart":false,"driftboats":true,"voyage_s":240.0,"logbook_s":30.0,"stow_s":4.0,"ashore_s":900.0}"#;
+
+fn merge(patch: &Value) -> Value {
+    let mut good: Value = serde_json::from_str(GOOD).expect("the good submission");
+    let map = good.as_object_mut().expect("a map");
+    for (k, v) in patch.as_object().into_iter().flatten() {
+        if v.as_str() == Some("<missing>") {
+            map.remove(k);
+        } else if v.as_str() == Some("<nan>") {
+            map.insert(k.clone(), Value::Null);
+        } else {
+            map.insert(k.clone(), v.clone());
+        }
+    }
+    good
+}
+
+/// `input PATCH -> ok | 400 FIELD | 422 WORD`: a good submission with these fields changed.
+/// `input hex BYTES -> ...`: a body byte by byte.
+pub fn input(line: &str) -> Result<(), String> {
+    let (left, right) = line.trim_start_matches("input").split_once("->").ok_or("no ->")?;
+    let left = left.trim();
+    let body = if let Some(hex) = left.strip_prefix("hex ") {
+        hex.split_whitespace()
+            .map(|h| u8::from_str_radix(h, 16))
+            .collect::<Result<Vec<u8>, _>>()
+            .map_err(|e| e.to_string())?
+    } else if let Some(n) = left.strip_prefix("nested ") {
+        let n: usize = n.trim().parse().map_err(|_| "a depth")?;
+        let mut b = vec![0x81, 0xa2, b'i', b'd'];
+        b.extend(std::iter::repeat_n(0x91, n));
+        b
+    } else {
+        let patch: Value = serde_json::from_str(left).map_err(|e| e.to_string())?;
+        rmp_serde::to_vec(&merge(&patch)).map_err(|e| e.to_string())?
+    };
+    let types = [MachineType {
+        name: "std".into(),
+        cpus: 16.0,
+        gpus: 2.0,
+        memory_gb: 64.0,
+        cache_gb: 70.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 1.0,
+        boot_s: 10.0,
+        zones: vec!["a".into(), "b".into()],
+    }];
+    let teams = [
+        Team { name: "crew".into(), gpus_max: 8.0, ..Team::default() },
+        Team { name: "free".into(), ..Team::default() },
+    ];
+    let got = match JobSpec::parse(&body) {
+        Err(e) => format!("400 {e}"),
+        Ok(spec) => match never_runs(&spec, &types, &["a".into(), "b".into()], &teams) {
+            Some(why) => format!("422 {why}"),
+            None => "ok".into(),
+        },
+    };
+    let right = right.trim();
+    let (status, part) = right.split_once(' ').unwrap_or((right, ""));
+    if got.starts_with(status) && got.contains(part) { Ok(()) } else { Err(format!("got {got}")) }
+}
+
+const SETTINGS: &str = include_str!("settings.toml");
+
+/// `settings OLD => NEW -> ok | FIELD`: good settings with one line replaced.
+pub fn settings(line: &str) -> Result<(), String> {
+    let (edit, want) = line.trim_start_matches("settings").rsplit_once("->").ok_or("no ->")?;
+    let (old, new) = edit.split_once("=>").ok_or("no =>")?;
+    let (old, new, want) = (old.trim(), new.trim(), want.trim());
+    if !SETTINGS.contains(old) {
+        return Err(format!("the good settings have no `{old}`"));
+    }
+    let text = SETTINGS.replacen(old, new, 1);
+    match (Settings::parse("test", &text), want) {
+        (Ok(_), "ok") => Ok(()),
+        (Ok(_), _) => Err("no fault found".into()),
+        (Err(e), "ok") => Err(e.to_string()),
+        (Err(e), field) if e.to_string().contains(field) => Ok(()),
+        (Err(e), _) => Err(format!("got {e}")),
+    }
+}
+
+/// `http "RAW" -> STATUS [close]`: raw bytes to the real server on loopback.
+pub fn http(line: &str) -> Result<(), String> {
+    let (raw, want) = line.trim_start_matches("http").rsplit_once("->").ok_or("no ->")?;
+    let raw = raw.trim().trim_matches('"').replace("\\r\\n", "\r\n").replace("<32K>", &"a".repeat(32 * 1024));
+    let want = want.trim().to_owned();
+    let out = Rc::new(RefCell::new(Err("no answer".to_owned())));
+    let result = out.clone();
+    runtime::run(async move {
+        *result.borrow_mut() = exchange(raw, &want).await;
+    })
+    .map_err(|e| e.to_string())?;
+    out.replace(Err(String::new()))
+}
+
+async fn exchange(raw: String, want: &str) -> Result<(), String> {
+    let io = |e: std::io::Error| e.to_string();
+    let listener = TcpListener::bind("127.0.0.1:0".parse().expect("an address")).map_err(io)?;
+    let addr = listener.local_addr().map_err(io)?;
+    let cancel = Cancel::new();
+    let limits = Limits { connections: 8, idle: Micros::from_secs(2), request: Micros::from_secs(2) };
+    let handler = Rc::new(|r: Request| -> futures_util::future::LocalBoxFuture<'static, Response> {
+        Box::pin(async move { Response::of(200, &r.body.len()) })
+    });
+    runtime::spawn_until(cancel.clone(), http::serve(listener, limits, cancel.clone(), handler));
+    let stream = TcpStream::connect(addr, Micros::from_secs(1)).await.map_err(io)?;
+    let _ = stream.write_all(raw.as_bytes()).await;
+    let mut got = Vec::new();
+    let mut closed = false;
+    loop {
+        let mut buf = [0u8; 4096];
+        match runtime::timeout(Micros::from_millis(150), stream.read(&mut buf)).await {
+            Ok(Ok(0)) | Ok(Err(_)) => {
+                closed = true;
+                break;
+            }
+            Ok(Ok(n)) => got.extend_from_slice(&buf[..n]),
+            Err(_) => break,
+        }
+    }
+    cancel.cancel();
+    let text = String::from_utf8_lossy(&got);
+    let status = text.split_whitespace().nth(1).unwrap_or("none");
+    let is = format!("{status}{}", if closed { " close" } else { "" });
+    if is == want { Ok(()) } else { Err(format!("got {is}: {}", text.lines().next().unwrap_or(""))) }
+}
--- /dev/null
+++ b/tests/sim/controller.rs
@@ -0,0 +1,554 @@
+//! Controllers: the real core, with leadership and messages as `lead` does them.
+
+use super::store::{Change, Value};
+use super::{Host, World};
+use hopyoke::core::{Action, Batch, BatchError, Core, EndRecord, JobRecord, RentOutcome, Write};
+use hopyoke::ids::{JobId, MachineId, Mark, Token};
+use hopyoke::time::Micros;
+use hopyoke::wire::cloud::{Listed, ListedState};
+use hopyoke::wire::user::JobState;
+use hopyoke::wire::worker::Report;
+use std::rc::Rc;
+
+#[derive(Default)]
+pub struct Node {
+    pub up: bool,
+    /// Counts the processes; what an old one sent off finds the number changed.
+    pub process: u64,
+    pub lead: Option<Lead>,
+    pub leader_seen: Option<usize>,
+}
+
+pub struct Lead {
+    pub core: Core,
+    pub lease: u64,
+    pub until: Micros,
+    pub heard_until: Micros,
+    since: u64,
+    /// Number of the watch that is open.
+    watch: u64,
+    writing: bool,
+}
+
+const WATCH: Micros = Micros::from_secs(2);
+
+impl World {
+    pub fn start_node(&mut self, i: usize) {
+        let n = &mut self.nodes[i];
+        n.up = true;
+        n.process += 1;
+        n.lead = None;
+        let p = n.process;
+        let wait = Micros(self.random(1_000, 100_000));
+        self.after(wait, move |w| w.seek(i, p, true));
+    }
+
+    pub fn crash_node(&mut self, i: usize, back: Micros) {
+        let n = &mut self.nodes[i];
+        n.up = false;
+        n.lead = None;
+        n.process += 1;
+        self.log(|| format!("node {i} crashes"));
+        self.after(back, move |w| w.start_node(i));
+    }
+
+    fn alive(&self, i: usize, process: u64) -> bool {
+        self.nodes[i].up && self.nodes[i].process == process
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|n| n.lead.is_some())
+    }
+
+    fn entitled(&self, i: usize) -> bool {
+        self.nodes[i].lead.as_ref().is_some_and(|l| self.now < l.until && self.now < l.heard_until)
+    }
+
+    /// Looks who leads; tries to lead if nobody does.
+    fn seek(&mut self, i: usize, process: u64, first: bool) {
+        if !self.alive(i, process) || self.nodes[i].lead.is_some() {
+            return;
+        }
+        let sent = self.now;
+        self.send(Host::Node(i), Host::State, move |w| {
+            if w.state_down() {
+                return;
+            }
+            let holder = match w.store.keys.get("leader") {
+                Some(e) => match e.value {
+                    Value::Holder(h) => Some((h, e.mark)),
+                    _ => None,
+                },
+                None => None,
+            };
+            let mark = match holder {
+                None => 0,
+                // A former process of the same node: its lease need not run out.
+                Some((h, mark)) if h == i && first => mark,
+                Some((h, _)) => {
+                    return w.send(Host::State, Host::Node(i), move |w| w.nodes[i].leader_seen = Some(h));
+                }
+            };
+            let until = w.now + w.ttl;
+            let lease = w.store.grant(until);
+            let put = Change::Put("leader".into(), Value::Holder(i), Some(lease));
+            if let Ok(token) = w.store.txn(&[("leader".into(), mark)], vec![put]) {
+                w.send(Host::State, Host::Node(i), move |w| w.granted(i, process, lease, token, sent));
+            }
+        });
+        let pause = Micros(self.random(200_000, 500_000));
+        self.after(pause, move |w| w.seek(i, process, first));
+    }
+
+    fn granted(&mut self, i: usize, process: u64, lease: u64, token: u64, sent: Micros) {
+        if !self.alive(i, process) || self.nodes[i].lead.is_some() {
+            return;
+        }
+        let until = sent + self.ttl.less_drift();
+        let granted_at = self.now;
+        if granted_at >= until {
+            return;
+        }
+        self.read_records(i, process, lease, token, until, granted_at);
+    }
+
+    fn read_records(&mut self, i: usize, process: u64, lease: u64, token: u64, until: Micros, at: Micros) {
+        self.send(Host::Node(i), Host::State, move |w| {
+            let mut jobs = Vec::new();
+            let mut register = Vec::new();
+            for (key, e) in &w.store.keys {
+                match (&e.value, key.split_once('/')) {
+                    (Value::Job(r), Some((_, id))) => jobs.push((JobId::new(id), r.clone(), Mark(e.mark))),
+                    (Value::Machine(r), Some((_, id))) => register.push((MachineId::new(id), r.clone())),
+                    _ => {}
+                }
+            }
+            let revision = w.store.revision;
+            w.send(Host::State, Host::Node(i), move |w| {
+                if !w.alive(i, process) || w.nodes[i].lead.is_some() || w.now >= until {
+                    return;
+                }
+                w.log(|| format!("node {i} leads with token {token}"));
+                w.leaders += 1;
+                let mut core = Core::new(w.cfg.clone(), Token(token), jobs, register, at);
+                core.set_catalog(w.types.clone());
+                let heard_until = w.now + WATCH + w.ttl;
+                let lead = Lead { core, lease, until, heard_until, since: revision, watch: 0, writing: false };
+                w.nodes[i].lead = Some(lead);
+                w.nodes[i].leader_seen = Some(i);
+                w.renew(i, process);
+                w.watch(i, process);
+                w.tick(i, process);
+                w.list(i, process);
+            });
+        });
+    }
+
+    fn lead(&mut self, i: usize, process: u64) -> Option<&mut Lead> {
+        if !self.alive(i, process) {
+            return None;
+        }
+        self.nodes[i].lead.as_mut()
+    }
+
+    fn renew(&mut self, i: usize, process: u64) {
+        let Some(lease) = self.lead(i, process).map(|l| l.lease) else { return };
+        let sent = self.now;
+        self.send(Host::Node(i), Host::State, move |w| {
+            if w.state_down() {
+                return;
+            }
+            let ttl = w.ttl;
+            let until = w.now + ttl;
+            let alive = match w.store.leases.get_mut(&lease) {
+                Some(t) => {
+                    *t = until;
+                    true
+                }
+                None => false,
+            };
+            w.send(Host::State, Host::Node(i), move |w| {
+                let Some(lead) = w.lead(i, process) else { return };
+                if alive {
+                    lead.until = lead.until.max(sent + ttl.less_drift());
+                } else if lead.lease == lease {
+                    w.nodes[i].lead = None;
+                    w.log(|| format!("node {i} lost its lease"));
+                    w.seek(i, process, false);
+                }
+            });
+        });
+        let pause = Micros(self.ttl.0 / 4);
+        self.after(pause, move |w| w.renew(i, process));
+    }
+
+    fn watch(&mut self, i: usize, process: u64) {
+        let sent = self.now;
+        let Some(lead) = self.lead(i, process) else { return };
+        lead.watch += 1;
+        let (since, number) = (lead.since, lead.watch);
+        self.send(Host::Node(i), Host::State, move |w| w.watch_at_store(i, process, since, number, sent));
+        // An answer that got lost: ask again.
+        self.after(WATCH + Micros::from_millis(1500), move |w| {
+            if w.lead(i, process).is_some_and(|l| l.watch == number) {
+                w.watch(i, process);
+            }
+        });
+    }
+
+    fn watch_at_store(&mut self, i: usize, process: u64, since: u64, number: u64, sent: Micros) {
+        if self.lead(i, process).is_none_or(|l| l.watch != number) {
+            return;
+        }
+        let news: Vec<(u64, String, bool)> =
+            self.store.log.iter().filter(|(r, k, _)| *r > since && k.starts_with("job/")).cloned().collect();
+        let over = self.now >= sent + WATCH;
+        if (news.is_empty() && !over) || self.state_down() {
+            let wait = Micros::from_millis(20);
+            return self.after(wait, move |w| w.watch_at_store(i, process, since, number, sent));
+        }
+        let revision = self.store.revision;
+        let mut events = Vec::new();
+        for (mark, key, dropped) in news {
+            let record = match self.store.keys.get(&key) {
+                Some(super::store::Entry { value: Value::Job(r), mark: m, .. }) if *m == mark => Some(r.clone()),
+                _ => None,
+            };
+            events.push((JobId::new(&key[4..]), record, Mark(mark), dropped));
+        }
+        self.send(Host::State, Host::Node(i), move |w| {
+            let (now, grace) = (w.now, WATCH + w.ttl);
+            let Some(lead) = w.lead(i, process).filter(|l| l.watch == number) else { return };
+            lead.since = lead.since.max(revision);
+            lead.heard_until = lead.heard_until.max(sent + grace);
+            for (id, record, mark, dropped) in events {
+                match record {
+                    Some(r) => lead.core.job_seen(id, r, mark, now),
+                    None if dropped => lead.core.job_dropped(&id),
+                    None => {}
+                }
+            }
+            w.act(i, process);
+            w.watch(i, process);
+        });
+    }
+
+    fn tick(&mut self, i: usize, process: u64) {
+        if self.lead(i, process).is_none() {
+            return;
+        }
+        self.act(i, process);
+        self.after(Micros::from_millis(100), move |w| w.tick(i, process));
+    }
+
+    /// Lets the core decide and does what it wants done.
+    fn act(&mut self, i: usize, process: u64) {
+        if !self.entitled(i) {
+            return;
+        }
+        let now = self.now;
+        let Some(lead) = self.lead(i, process) else { return };
+        lead.core.tick(now);
+        let mut actions = Vec::new();
+        while let Some(a) = lead.core.next_action() {
+            actions.push(a);
+        }
+        let batch = if lead.writing { None } else { lead.core.next_batch(now) };
+        lead.writing |= batch.is_some();
+        let token = lead.core.token;
+        for a in actions {
+            self.perform(i, process, token, a);
+        }
+        if let Some(b) = batch {
+            self.commit(i, process, token, b);
+        }
+    }
+
+    fn perform(&mut self, i: usize, process: u64, token: Token, action: Action) {
+        match action {
+            Action::Rent { request, machine_type, zone, spot, count } => {
+                self.send(Host::Node(i), Host::Cloud, move |w| {
+                    let got = w.cloud_rent(&request, &machine_type, &zone, spot, count);
+                    w.send(Host::Cloud, Host::Node(i), move |w| {
+                        let now = w.now;
+                        let out = if got.is_empty() { RentOutcome::NoCapacity } else { RentOutcome::Rented(got) };
+                        if let Some(l) = w.lead(i, process) {
+                            l.core.rented(&request, out, now);
+                        }
+                    });
+                });
+            }
+            Action::Delete { machines } => {
+                self.send(Host::Node(i), Host::Cloud, move |w| {
+                    for m in &machines {
+                        w.remove_machine(m);
+                    }
+                    w.send(Host::Cloud, Host::Node(i), move |w| {
+                        if let Some(l) = w.lead(i, process) {
+                            l.core.deleted(&machines);
+                        }
+                    });
+                });
+            }
+            Action::Reread { job } => {
+                self.send(Host::Node(i), Host::State, move |w| {
+                    let found = match w.store.keys.get(&format!("job/{job}")) {
+                        Some(super::store::Entry { value: Value::Job(r), mark, .. }) => {
+                            Some((r.clone(), Mark(*mark)))
+                        }
+                        _ => None,
+                    };
+                    let down = w.state_down();
+                    w.send(Host::State, Host::Node(i), move |w| {
+                        let now = w.now;
+                        let Some(l) = w.lead(i, process) else { return };
+                        if down { l.core.reread_failed(job) } else { l.core.reread(job, found, now) }
+                    });
+                });
+            }
+            Action::Direct { machine, session, orders, .. } => {
+                let m = machine.clone();
+                let sent = self.now;
+                self.send(Host::Node(i), Host::Workers, move |w| {
+                    w.direct_arrives(i, process, machine, token, session, orders, sent);
+                });
+                self.after(Micros::from_secs(3), move |w| {
+                    let now = w.now;
+                    if let Some(l) = w.lead(i, process)
+                        && l.core.machines.get(&m).is_some_and(|x| x.direct_open && x.session == session)
+                    {
+                        l.core.direct_failed(&m, true, now);
+                    }
+                });
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn direct_arrives(
+        &mut self,
+        i: usize,
+        process: u64,
+        machine: MachineId,
+        token: Token,
+        session: u64,
+        orders: Vec<hopyoke::wire::worker::Order>,
+        sent: Micros,
+    ) {
+        if let Some(t) = self.hung(&machine) {
+            return self.at(t, move |w| w.direct_arrives(i, process, machine, token, session, orders, sent));
+        }
+        let Some((executed, report)) = self.direct(&machine, token, session, orders) else { return };
+        if self.now >= sent + Micros::from_secs(3) {
+            return;
+        }
+        self.send(Host::Workers, Host::Node(i), move |w| {
+            let now = w.now;
+            if now < sent + Micros::from_secs(3)
+                && let Some(l) = w.lead(i, process)
+            {
+                l.core.direct_answer(&machine, executed, Some(&report), now);
+                w.act(i, process);
+            }
+        });
+    }
+
+    fn commit(&mut self, i: usize, process: u64, token: Token, batch: Batch) {
+        let mut when = vec![("leader".to_owned(), token.0)];
+        let mut apply = Vec::new();
+        for wr in &batch.writes {
+            match wr {
+                Write::Update { job, mark, record } => {
+                    when.push((format!("job/{job}"), mark.0));
+                    apply.push(Change::Put(format!("job/{job}"), Value::Job(record.clone()), None));
+                }
+                Write::End { job, mark, end } => {
+                    when.push((format!("job/{job}"), mark.0));
+                    apply.push(Change::Drop(format!("job/{job}")));
+                    apply.push(Change::Put(format!("end/{job}"), Value::End(*end), None));
+                }
+                Write::Register { machine, record } => {
+                    apply.push(Change::Put(format!("fleet/{machine}"), Value::Machine(record.clone()), None));
+                }
+                Write::Unregister { machine } => apply.push(Change::Drop(format!("fleet/{machine}"))),
+            }
+        }
+        let sent = self.now;
+        let open = Rc::new(std::cell::Cell::new(true));
+        let (a, b) = (open.clone(), open);
+        let (batch, late) = (batch.clone(), batch);
+        self.send(Host::Node(i), Host::State, move |w| {
+            let result = if w.state_down() {
+                Err(BatchError::Refused)
+            } else {
+                w.store.txn(&when, apply).map(Mark).map_err(|keys| {
+                    let jobs = keys.iter().filter_map(|k| k.strip_prefix("job/")).map(JobId::new).collect();
+                    BatchError::Conflict(jobs)
+                })
+            };
+            w.send(Host::State, Host::Node(i), move |w| {
+                if a.replace(false) && w.now < sent + Micros::from_millis(2500) {
+                    w.batch_over(i, process, batch, result);
+                }
+            });
+        });
+        self.after(Micros::from_millis(2500), move |w| {
+            if b.replace(false) {
+                w.batch_over(i, process, late, Err(BatchError::Unknown));
+            }
+        });
+    }
+
+    fn batch_over(&mut self, i: usize, process: u64, batch: Batch, result: Result<Mark, BatchError>) {
+        let now = self.now;
+        let Some(l) = self.lead(i, process) else { return };
+        if result == Err(BatchError::Conflict(Vec::new())) {
+            self.nodes[i].lead = None;
+            return self.seek(i, process, false);
+        }
+        l.writing = false;
+        l.core.batch_ended(batch, result, now);
+        self.act(i, process);
+    }
+
+    /// A report reaches a node.
+    pub fn node_report(&mut self, i: usize, report: Report, number: u64) {
+        if !self.nodes[i].up {
+            let (m, s) = (report.machine.clone(), report.session);
+            let sent = self.now;
+            return self
+                .after(Micros::from_millis(5), move |w| w.report_answered(&m, s, number, sent, Some(Err(None))));
+        }
+        let now = self.now;
+        let entitled = self.entitled(i);
+        let seen = self.nodes[i].leader_seen;
+        let answer = match &mut self.nodes[i].lead {
+            Some(l) if entitled && report.token <= l.core.token => {
+                let a = l.core.report(&report, now);
+                Ok((a.token, a.orders))
+            }
+            Some(_) => Err(None),
+            None => Err(seen.filter(|s| *s != i)),
+        };
+        let p = self.nodes[i].process;
+        let (m, s) = (report.machine.clone(), report.session);
+        let sent = self.machines.get(&m).map_or(now, |m| m.last_report);
+        self.send(Host::Node(i), Host::Workers, move |w| w.report_answered(&m, s, number, sent, Some(answer)));
+        self.act(i, p);
+    }
+
+    fn list(&mut self, i: usize, process: u64) {
+        if self.lead(i, process).is_none() {
+            return;
+        }
+        let now = self.now;
+        let lag = self.cfg.list_lag;
+        let listed: Vec<Listed> = self
+            .machines
+            .values()
+            .filter(|m| now >= m.rented_at + lag)
+            .map(|m| Listed {
+                id: m.id.clone(),
+                address: None,
+                machine_type: m.kind.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                state: if m.up { ListedState::Running } else { ListedState::Booting },
+                age_s: (now - m.rented_at).as_secs_f64(),
+            })
+            .collect();
+        if let Some(l) = self.lead(i, process) {
+            l.core.listed(&listed, now);
+        }
+        self.after(Micros::from_secs(5), move |w| w.list(i, process));
+    }
+
+    fn cloud_rent(&mut self, request: &str, kind: &str, zone: &str, spot: bool, count: u32) -> Vec<MachineId> {
+        if let Some(ids) = self.charters.get(request) {
+            return ids.clone();
+        }
+        let key = (kind.to_owned(), zone.to_owned(), spot);
+        let free = self.capacity.get(&key).copied().unwrap_or(0).min(count);
+        if free == 0 {
+            return Vec::new();
+        }
+        if let Some(c) = self.capacity.get_mut(&key) {
+            *c -= free;
+        }
+        let boot = Micros::from_secs_f64(self.machine_type(kind).boot_s);
+        let ids: Vec<MachineId> = (0..free)
+            .map(|_| {
+                let fails = self.never_boot > 0;
+                self.never_boot = self.never_boot.saturating_sub(1);
+                let spread = Micros(self.random(boot.0 * 6 / 10, boot.0 * 15 / 10));
+                self.add_machine(kind, zone, spot, (!fails).then_some(spread))
+            })
+            .collect();
+        self.charters.insert(request.to_owned(), ids.clone());
+        ids
+    }
+
+    /// A node that can take users' requests; users try one after the other.
+    fn some_node(&mut self) -> usize {
+        let n = self.nodes.len() as u64;
+        let first = self.random(0, n - 1) as usize;
+        (0..n as usize).map(|k| (first + k) % n as usize).find(|&k| self.nodes[k].up).unwrap_or(first)
+    }
+
+    /// A user submits a job and repeats that until it is accepted.
+    pub fn submit(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_none_or(|j| j.accepted.is_some()) {
+            return;
+        }
+        let i = self.some_node();
+        let again = id.clone();
+        self.send(Host::Node(i), Host::State, move |w| {
+            if w.state_down() || !w.nodes[i].up {
+                return;
+            }
+            let Some(job) = w.jobs.get(&id) else { return };
+            let record = JobRecord {
+                spec: job.spec.clone(),
+                accepted_us: w.now.0,
+                done: Default::default(),
+                term: Default::default(),
+            };
+            let when = [(format!("job/{id}"), 0), (format!("end/{id}"), 0)];
+            let _ = w.store.txn(&when, vec![Change::Put(format!("job/{id}"), Value::Job(record), None)]);
+            w.send(Host::State, Host::Node(i), move |w| {
+                let now = w.now;
+                if let Some(j) = w.jobs.get_mut(&id) {
+                    j.accepted.get_or_insert(now);
+                }
+            });
+        });
+        self.after(Micros::from_millis(1500), move |w| w.submit(again));
+    }
+
+    /// A user cancels a job and repeats that until it is told that the job is over.
+    pub fn cancel(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_none_or(|j| j.cancelled.is_some()) || self.end_of(&id).is_some() {
+            return;
+        }
+        let i = self.some_node();
+        let again = id.clone();
+        self.send(Host::Node(i), Host::State, move |w| {
+            let key = format!("job/{id}");
+            if w.state_down() || !w.nodes[i].up {
+                return;
+            }
+            let Some(mark) = w.store.keys.get(&key).map(|e| e.mark) else { return };
+            let end = EndRecord { state: JobState::Cancelled, done: 0 };
+            let apply = vec![Change::Drop(key.clone()), Change::Put(format!("end/{id}"), Value::End(end), None)];
+            if w.store.txn(&[(key, mark)], apply).is_ok() {
+                w.send(Host::State, Host::Node(i), move |w| {
+                    let now = w.now;
+                    if let Some(j) = w.jobs.get_mut(&id) {
+                        j.cancelled.get_or_insert(now);
+                    }
+                });
+            }
+        });
+        self.after(Micros::from_millis(1500), move |w| w.cancel(again));
+    }
+}
--- /dev/null
+++ b/tests/sim/mod.rs
@@ -0,0 +1,223 @@
+//! A small world in virtual time: workers, cloud, state service and users that follow the
+//! protocol, around controllers that run the real core. Every rule is checked at every step.
+
+pub mod controller;
+pub mod rules;
+pub mod script;
+pub mod store;
+pub mod worker;
+
+use hopyoke::core::{Config, Team};
+use hopyoke::ids::{JobId, MachineId};
+use hopyoke::time::Micros;
+use hopyoke::wire::cloud::MachineType;
+use hopyoke::wire::user::JobSpec;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
+
+pub type Step = Box<dyn FnOnce(&mut World)>;
+
+struct Timed(Micros, u64, Step);
+
+impl PartialEq for Timed {
+    fn eq(&self, o: &Timed) -> bool {
+        self.1 == o.1
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, o: &Timed) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, o: &Timed) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(o.0, o.1))
+    }
+}
+
+/// Ends of a network path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Host {
+    Node(usize),
+    Workers,
+    State,
+    Cloud,
+}
+
+/// A node is cut off from something.
+#[derive(Debug, Clone)]
+pub struct Cut {
+    pub node: usize,
+    pub from: Vec<Host>,
+    pub until: Micros,
+    /// Packets are held back and delivered at the end, instead of lost.
+    pub hold: bool,
+}
+
+/// What is true about a job, whatever anybody believes.
+pub struct Truth {
+    pub spec: Rc<JobSpec>,
+    pub run: Micros,
+    /// Fails on every machine.
+    pub fails: bool,
+    pub accepted: Option<Micros>,
+    pub cancelled: Option<Micros>,
+    pub done: Vec<bool>,
+    pub done_at: Option<Micros>,
+    pub starts: u32,
+    /// Progress that a gang has saved.
+    pub saved: Micros,
+}
+
+pub struct World {
+    pub now: Micros,
+    queue: BinaryHeap<Reverse<Timed>>,
+    next: u64,
+    pub rng: StdRng,
+    pub cfg: Config,
+    pub ttl: Micros,
+    pub cancel_s: Micros,
+    pub types: Vec<MachineType>,
+    /// Capacity left by (type, zone, spot).
+    pub capacity: BTreeMap<(String, String, bool), u32>,
+    pub machines: BTreeMap<MachineId, worker::Worker>,
+    pub next_machine: u32,
+    pub charters: BTreeMap<String, Vec<MachineId>>,
+    pub never_boot: u32,
+    pub store: store::Store,
+    pub nodes: Vec<controller::Node>,
+    pub cuts: Vec<Cut>,
+    pub jobs: BTreeMap<JobId, Truth>,
+    pub broken: Vec<String>,
+    pub leaders: u32,
+    pub trace: bool,
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: usize) -> World {
+        World {
+            now: Micros::ZERO,
+            queue: BinaryHeap::new(),
+            next: 0,
+            rng: StdRng::seed_from_u64(seed),
+            cfg: Config {
+                zones: vec!["a".into(), "b".into(), "c".into()],
+                teams: Vec::new(),
+                report: Micros::from_secs(2),
+                lease: Micros::from_secs(14),
+                gang_wait: Micros::from_secs(50),
+                gang_peer: Micros::from_secs(6),
+                list_lag: Micros::from_secs(4),
+                value_bytes: 8192,
+                txn_ops: 16,
+                write_rps: 25.0,
+                margin: Micros::from_millis(500),
+            },
+            ttl: Micros::from_secs(5),
+            cancel_s: Micros::from_secs(34),
+            types: Vec::new(),
+            capacity: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            next_machine: 0,
+            charters: BTreeMap::new(),
+            never_boot: 0,
+            store: store::Store::default(),
+            nodes: (0..nodes).map(|_| controller::Node::default()).collect(),
+            cuts: Vec::new(),
+            jobs: BTreeMap::new(),
+            broken: Vec::new(),
+            leaders: 0,
+            trace: std::env::var_os("SIM_TRACE").is_some(),
+        }
+    }
+
+    pub fn at(&mut self, t: Micros, step: impl FnOnce(&mut World) + 'static) {
+        self.next += 1;
+        self.queue.push(Reverse(Timed(t.max(self.now), self.next, Box::new(step))));
+    }
+
+    pub fn after(&mut self, span: Micros, step: impl FnOnce(&mut World) + 'static) {
+        self.at(self.now + span, step);
+    }
+
+    pub fn run_until(&mut self, end: Micros) {
+        while let Some(Reverse(t)) = self.queue.peek() {
+            if t.0 > end {
+                break;
+            }
+            let Some(Reverse(t)) = self.queue.pop() else { break };
+            self.now = t.0;
+            (t.2)(self);
+            self.check_rules();
+            if !self.broken.is_empty() {
+                return;
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn log(&self, what: impl FnOnce() -> String) {
+        if self.trace {
+            eprintln!("{:10.4} {}", self.now.as_secs_f64(), what());
+        }
+    }
+
+    pub fn random(&mut self, low: u64, high: u64) -> u64 {
+        self.rng.random_range(low..=high)
+    }
+
+    fn cut(&self, a: Host, b: Host) -> Option<Cut> {
+        let now = self.now;
+        let hits = |c: &&Cut| {
+            let me = Host::Node(c.node);
+            now < c.until && ((a == me && c.from.contains(&b)) || (b == me && c.from.contains(&a)))
+        };
+        self.cuts.iter().find(hits).cloned()
+    }
+
+    /// Sends a message: it arrives after a while, late, or never.
+    pub fn send(&mut self, from: Host, to: Host, step: impl FnOnce(&mut World) + 'static) {
+        let latency = Micros(self.random(400, 6_000));
+        match self.cut(from, to) {
+            Some(c) if c.hold => self.at(c.until + latency, step),
+            Some(_) => {}
+            None => self.after(latency, step),
+        }
+    }
+
+    pub fn machine_type(&self, name: &str) -> MachineType {
+        self.types.iter().find(|t| t.name == name).cloned().expect("a known machine type")
+    }
+
+    pub fn team(&self, name: &str) -> Team {
+        self.cfg.teams.iter().find(|t| t.name == name).cloned().expect("a known team")
+    }
+
+    /// Adds a machine that boots for `boot`, or never.
+    pub fn add_machine(&mut self, kind: &str, zone: &str, spot: bool, boot: Option<Micros>) -> MachineId {
+        let id = MachineId::new(&format!("m-{:06}", self.next_machine));
+        self.next_machine += 1;
+        let drift = self.random(0, 1000) as f64 / 1e6 - 0.0005;
+        let w = worker::Worker::new(id.clone(), kind, zone, spot, drift, self.now);
+        self.machines.insert(id.clone(), w);
+        if let Some(boot) = boot {
+            let m = id.clone();
+            self.after(boot, move |w| w.boot(&m));
+        }
+        id
+    }
+
+    pub fn remove_machine(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get(id) else { return };
+        *self.capacity.entry((m.kind.clone(), m.zone.clone(), m.spot)).or_default() += 1;
+        let tasks: Vec<_> = m.tasks.keys().cloned().collect();
+        self.machines.remove(id);
+        for (task, attempt) in tasks {
+            self.gang_lost(&task.job, attempt);
+        }
+    }
+}
--- /dev/null
+++ b/tests/sim/script.rs
@@ -0,0 +1,377 @@
+//! Scenarios as text: one statement a line, `#` starts a comment. See `tests/scenarios/README.md`.
+
+use super::{Cut, Host, Truth, World};
+use hopyoke::core::Team;
+use hopyoke::ids::{JobId, MachineId};
+use hopyoke::time::Micros;
+use hopyoke::wire::cloud::MachineType;
+use hopyoke::wire::user::{JobKind, JobSpec, JobState, Priority};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+type Words<'a> = std::slice::Iter<'a, &'a str>;
+
+fn secs(s: &str) -> Micros {
+    Micros::from_secs_f64(s.parse().unwrap_or_else(|_| panic!("not a number of seconds: {s}")))
+}
+
+fn num(s: &str) -> f64 {
+    s.parse().unwrap_or_else(|_| panic!("not a number: {s}"))
+}
+
+fn word<'a>(w: &mut Words<'a>) -> &'a str {
+    w.next().copied().expect("another word")
+}
+
+/// `key value` pairs.
+fn pairs<'a>(w: &mut Words<'a>) -> BTreeMap<&'a str, &'a str> {
+    let mut out = BTreeMap::new();
+    while let Some(k) = w.next() {
+        out.insert(*k, word(w));
+    }
+    out
+}
+
+/// Runs one scenario; the error names the line.
+pub fn run(text: &str) -> Result<(), String> {
+    let mut world: Option<World> = None;
+    for (n, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if line.is_empty() {
+            continue;
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let fail = |e: String| format!("line {}: `{line}`: {e}", n + 1);
+        match words[0] {
+            "seed" => {
+                let mut w = World::new(num(words[1]) as u64, 3);
+                world_defaults(&mut w);
+                world = Some(w);
+            }
+            "input" => super::super::checks::input(line).map_err(fail)?,
+            "settings" => super::super::checks::settings(line).map_err(fail)?,
+            "http" => super::super::checks::http(line).map_err(fail)?,
+            _ => {
+                let w = world.as_mut().ok_or_else(|| fail("a scenario starts with `seed N`".into()))?;
+                statement(w, &words).map_err(fail)?;
+                if let Some(b) = w.broken.first() {
+                    return Err(fail(b.clone()));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn world_defaults(w: &mut World) {
+    w.types.push(MachineType {
+        name: "std".into(),
+        cpus: 16.0,
+        gpus: 2.0,
+        memory_gb: 64.0,
+        cache_gb: 70.0,
+        fetch_gb_per_s: 2.0,
+        price: 7.0,
+        spot_price: 2.5,
+        boot_s: 10.0,
+        zones: w.cfg.zones.clone(),
+    });
+    for z in w.cfg.zones.clone() {
+        w.capacity.insert(("std".into(), z.clone(), false), 4);
+        w.capacity.insert(("std".into(), z, true), 2);
+    }
+    w.cfg.teams.push(Team { name: "crew".into(), gpus: 8.0, gpus_max: 16.0, ..Team::default() });
+    w.cfg.teams.push(Team { name: "other".into(), gpus: 4.0, gpus_max: 8.0, ..Team::default() });
+    w.expire_leases();
+    for i in 0..3 {
+        w.start_node(i);
+    }
+}
+
+fn statement(w: &mut World, words: &[&str]) -> Result<(), String> {
+    let mut it = words.iter();
+    match word(&mut it) {
+        "team" => {
+            let name = word(&mut it).to_owned();
+            let p = pairs(&mut it);
+            let get = |k: &str| p.get(k).map_or(0.0, |v| num(v));
+            w.cfg.teams.retain(|t| t.name != name);
+            w.cfg.teams.push(Team {
+                name,
+                cpus: get("cpus"),
+                cpus_max: get("cpus_max"),
+                gpus: get("gpus"),
+                gpus_max: get("gpus_max"),
+            });
+        }
+        "lease" => w.cfg.lease = secs(word(&mut it)),
+        "cancel_s" => w.cancel_s = secs(word(&mut it)),
+        "capacity" => {
+            let (zone, kind, n) = (word(&mut it), word(&mut it), num(word(&mut it)) as u32);
+            w.capacity.insert(("std".into(), zone.into(), kind == "spot"), n);
+        }
+        "machines" => {
+            let (zone, kind, n) = (word(&mut it), word(&mut it), num(word(&mut it)) as u32);
+            for _ in 0..n {
+                w.add_machine("std", zone, kind == "spot", Some(Micros::from_millis(10)));
+            }
+        }
+        "duds" => w.never_boot = num(word(&mut it)) as u32,
+        "at" => {
+            let t = secs(word(&mut it));
+            let rest: Vec<String> = it.map(|s| (*s).to_owned()).collect();
+            w.at(t, move |w| {
+                let words: Vec<&str> = rest.iter().map(String::as_str).collect();
+                happen(w, &words);
+            });
+        }
+        "until" => w.run_until(secs(word(&mut it))),
+        "expect" => expect(w, &mut it)?,
+        "random" => random_day(w, num(word(&mut it)) as u64),
+        other => return Err(format!("unknown statement {other}")),
+    }
+    Ok(())
+}
+
+fn happen(w: &mut World, words: &[&str]) {
+    let mut it = words.iter();
+    match word(&mut it) {
+        "submit" => {
+            let (id, kind) = (JobId::new(word(&mut it)), word(&mut it));
+            let p = pairs(&mut it);
+            let truth = job(&id, kind, &p);
+            w.jobs.insert(id.clone(), truth);
+            w.submit(id);
+        }
+        "cancel" => w.cancel(JobId::new(word(&mut it))),
+        "crash" => {
+            let who = word(&mut it);
+            let back = secs(pairs(&mut it).get("back").copied().unwrap_or("6"));
+            for i in nodes(w, who) {
+                w.crash_node(i, back);
+            }
+        }
+        "cut" => {
+            let who = word(&mut it);
+            let p = pairs(&mut it);
+            let from = match p["from"] {
+                "state" => vec![Host::State],
+                "workers" => vec![Host::Workers],
+                _ => vec![Host::State, Host::Workers, Host::Cloud, Host::Node(0), Host::Node(1), Host::Node(2)],
+            };
+            let until = w.now + secs(p["for"]);
+            let hold = p.get("packets") == Some(&"held");
+            for node in nodes(w, who) {
+                w.cuts.push(Cut { node, from: from.clone(), until, hold });
+            }
+        }
+        "outage" => w.outage(secs(word(&mut it))),
+        "hang" => {
+            let (m, span) = (machine(w, word(&mut it)), secs(word(&mut it)));
+            let until = w.now + span;
+            if let Some(m) = m.and_then(|m| w.machines.get_mut(&m)) {
+                m.hung_until = until;
+            }
+        }
+        "sick" => {
+            if let Some(m) = machine(w, word(&mut it)).and_then(|m| w.machines.get_mut(&m)) {
+                m.sick = true;
+            }
+        }
+        "take" => {
+            if let Some(m) = machine(w, word(&mut it)) {
+                w.remove_machine(&m);
+            }
+        }
+        "notice" => {
+            let (m, span) = (machine(w, word(&mut it)), secs(word(&mut it)));
+            let until = w.now + span;
+            let Some(id) = m else { return };
+            if let Some(m) = w.machines.get_mut(&id) {
+                m.notice = Some(until);
+            }
+            w.report_soon(&id);
+            w.at(until, move |w| w.remove_machine(&id));
+        }
+        other => panic!("unknown event {other}"),
+    }
+}
+
+/// `leader`, `all` or a number.
+fn nodes(w: &World, who: &str) -> Vec<usize> {
+    match who {
+        "all" => (0..w.nodes.len()).collect(),
+        "leader" => w.leader().into_iter().collect(),
+        "follower" => (0..w.nodes.len()).find(|i| w.leader() != Some(*i)).into_iter().collect(),
+        n => vec![num(n) as usize],
+    }
+}
+
+/// A machine by name, or one that runs a task of a job (`of:req-1`), or any (`any`).
+fn machine(w: &World, who: &str) -> Option<MachineId> {
+    if let Some(id) = who.strip_prefix("of:") {
+        let id = JobId::new(id);
+        return w.machines.values().find(|m| m.tasks.keys().any(|(t, _)| t.job == id)).map(|m| m.id.clone());
+    }
+    if who == "any" {
+        return w.machines.keys().next().cloned();
+    }
+    Some(MachineId::new(who))
+}
+
+fn job(id: &JobId, kind: &str, p: &BTreeMap<&str, &str>) -> Truth {
+    let get = |k: &str, d: f64| p.get(k).map_or(d, |v| num(v));
+    let yes = |k: &str| p.get(k) == Some(&"yes");
+    let tasks = get("tasks", 1.0) as u32;
+    let run = get("run", 10.0);
+    let spec = JobSpec {
+        id: id.clone(),
+        class: p.get("class").unwrap_or(&"c").to_string(),
+        team: p.get("team").unwrap_or(&"crew").to_string(),
+        kind: match kind {
+            "array" => JobKind::Array,
+            "gang" => JobKind::Gang,
+            "service" => JobKind::Service,
+            other => panic!("unknown kind {other}"),
+        },
+        priority: match p.get("priority").copied() {
+            Some("production") => Priority::Production,
+            Some("high") => Priority::High,
+            Some("low") => Priority::Low,
+            _ => Priority::Normal,
+        },
+        tasks,
+        cpus: get("cpus", 6.0),
+        gpus: get("gpus", 1.0),
+        memory_gb: get("mem", 20.0),
+        image: p.get("image").unwrap_or(&"img-1").to_string(),
+        image_gb: get("image_gb", 2.0),
+        types: None,
+        zone: p.get("zone").map(|z| (*z).to_string()),
+        one_zone: yes("together"),
+        spread: yes("apart"),
+        spot: yes("spot"),
+        estimate_s: if kind == "service" { 0.0 } else { run },
+        checkpoint_s: get("checkpoint", 0.0),
+        save_s: get("save", 0.0),
+        deadline_s: None,
+    };
+    Truth {
+        run: Micros::from_secs_f64(run),
+        fails: yes("fails"),
+        accepted: None,
+        cancelled: None,
+        done: vec![false; tasks as usize],
+        done_at: None,
+        starts: 0,
+        saved: Micros::ZERO,
+        spec: Rc::new(spec),
+    }
+}
+
+fn expect(w: &World, it: &mut Words) -> Result<(), String> {
+    let id = JobId::new(word(it));
+    let what = word(it);
+    if id.as_str() == "leaders" {
+        let n = num(word(it)) as u32;
+        let ok = if what == "most" { w.leaders <= n } else { w.leaders == n };
+        return ok.then_some(()).ok_or(format!("{} nodes led", w.leaders));
+    }
+    if id.as_str() == "machines" {
+        let n = num(word(it)) as usize;
+        let ok = if what == "most" { w.machines.len() <= n } else { w.machines.len() == n };
+        return ok.then_some(()).ok_or(format!("{} machines", w.machines.len()));
+    }
+    let job = w.jobs.get(&id).ok_or("no such job")?;
+    match what {
+        "done" => {
+            if w.end_of(&id) != Some(JobState::Done) {
+                let n = job.done.iter().filter(|d| **d).count();
+                return Err(format!("not recorded as done; {n} of {} tasks are", job.spec.tasks));
+            }
+            if let (Some(&"by"), Some(t)) = (it.next(), it.next()) {
+                let at = w.done_after(&id).unwrap_or_default();
+                if at > secs(t) {
+                    return Err(format!("done only at {:.1} s", at.as_secs_f64()));
+                }
+            }
+        }
+        "unfinished" if w.end_of(&id).is_some() => return Err("it is over".into()),
+        "unfinished" => {}
+        "cancelled" if w.end_of(&id) != Some(JobState::Cancelled) => return Err("not cancelled".into()),
+        "cancelled" => {}
+        "running" => {
+            let n = num(word(it)) as usize;
+            if w.running(&id) != n {
+                return Err(format!("{} of its tasks run", w.running(&id)));
+            }
+        }
+        "starts" => {
+            let how = word(it);
+            let n = num(word(it)) as u32;
+            let ok = if how == "most" { job.starts <= n } else { job.starts >= n };
+            if !ok {
+                return Err(format!("{} starts", job.starts));
+            }
+        }
+        other => return Err(format!("unknown expectation {other}")),
+    }
+    Ok(())
+}
+
+/// A day of random work and random troubles; only the rules are expected to hold.
+fn random_day(w: &mut World, span: u64) {
+    let mut t = 1;
+    let mut n = 0;
+    while t < span {
+        n += 1;
+        let id = format!("req-{n:06}");
+        let kind = ["array", "gang", "service"][w.random(0, 2) as usize];
+        let tasks = w.random(1, if kind == "gang" { 3 } else { 5 });
+        let team = ["crew", "other"][w.random(0, 1) as usize];
+        let run = w.random(3, 40);
+        let flag = |w: &mut World| ["no", "yes"][w.random(0, 1) as usize];
+        let (spot, together) = (flag(w), flag(w));
+        let apart = if together == "yes" { "no" } else { flag(w) };
+        let checkpoint = if kind == "gang" { 5 } else { 0 };
+        let line = format!(
+            "submit {id} {kind} tasks {tasks} team {team} run {run} spot {spot} together {together} apart {apart} \
+             checkpoint {checkpoint} save 2 image img-{}",
+            w.random(1, 4)
+        );
+        later(w, t, line);
+        if kind == "service" || w.random(0, 9) == 0 {
+            let at = t + w.random(5, 80);
+            later(w, at, format!("cancel {id}"));
+        }
+        t += w.random(2, 9);
+    }
+    let mut t = 20;
+    while t < span {
+        let span = w.random(3, 40);
+        let who = ["leader", "follower", "0", "1", "2"][w.random(0, 4) as usize];
+        let held = ["held", "lost"][w.random(0, 1) as usize];
+        let line = match w.random(0, 9) {
+            0 => format!("crash {who} back 6"),
+            1 => "crash all back 6".into(),
+            2 => format!("cut {who} from state for {span} packets {held}"),
+            3 => format!("cut {who} from workers for {span} packets {held}"),
+            4 => format!("cut {who} from all for {span} packets {held}"),
+            5 => format!("outage {}", w.random(2, 25)),
+            6 => format!("hang any {span}"),
+            7 => format!("hang of:req-{:06} {span}", w.random(1, 20)),
+            8 => format!("take of:req-{:06}", w.random(1, 20)),
+            _ => format!("notice of:req-{:06} 10", w.random(1, 20)),
+        };
+        later(w, t, line);
+        t += w.random(5, 30);
+    }
+}
+
+fn later(w: &mut World, t: u64, line: String) {
+    w.at(Micros::from_secs(t), move |w| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        w.log(|| line.clone());
+        happen(w, &words);
+    });
+}
--- /dev/null
+++ b/tests/sim/store.rs
@@ -0,0 +1,114 @@
+//! The state service.
+
+use super::World;
+use hopyoke::core::{EndRecord, JobRecord, MachineRecord};
+use hopyoke::time::Micros;
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone)]
+pub enum Value {
+    Job(JobRecord),
+    End(EndRecord),
+    Machine(MachineRecord),
+    Holder(usize),
+}
+
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub value: Value,
+    pub mark: u64,
+    pub lease: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub keys: BTreeMap<String, Entry>,
+    pub revision: u64,
+    /// (revision, key, dropped)
+    pub log: Vec<(u64, String, bool)>,
+    pub leases: BTreeMap<u64, Micros>,
+    next_lease: u64,
+    pub outage_until: Micros,
+}
+
+pub enum Change {
+    Put(String, Value, Option<u64>),
+    Drop(String),
+}
+
+impl Store {
+    /// Applies the changes if every condition holds; else says which did not.
+    pub fn txn(&mut self, when: &[(String, u64)], apply: Vec<Change>) -> Result<u64, Vec<String>> {
+        let mark = |key: &String| self.keys.get(key).map_or(0, |e| e.mark);
+        let failed: Vec<String> = when.iter().filter(|(k, m)| mark(k) != *m).map(|(k, _)| k.clone()).collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.revision += 1;
+        let mark = self.revision;
+        for c in apply {
+            match c {
+                Change::Put(key, value, lease) => {
+                    // What is written must fit: checked as the service would.
+                    if let Value::Job(record) = &value {
+                        let size = serde_json::to_vec(record).map_or(0, |v| v.len());
+                        assert!(size <= 8192, "a record of {size} bytes was written");
+                    }
+                    self.log.push((mark, key.clone(), false));
+                    self.keys.insert(key, Entry { value, mark, lease });
+                }
+                Change::Drop(key) => {
+                    if self.keys.remove(&key).is_some() {
+                        self.log.push((mark, key, true));
+                    }
+                }
+            }
+        }
+        Ok(mark)
+    }
+
+    pub fn grant(&mut self, until: Micros) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, until);
+        self.next_lease
+    }
+
+    pub fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> =
+            self.keys.iter().filter(|(_, e)| e.lease == Some(lease)).map(|(k, _)| k.clone()).collect();
+        if !keys.is_empty() {
+            let _ = self.txn(&[], keys.into_iter().map(Change::Drop).collect());
+        }
+    }
+}
+
+impl World {
+    pub fn state_down(&self) -> bool {
+        self.now < self.store.outage_until
+    }
+
+    /// Ends leases that were not renewed; runs all the time.
+    pub fn expire_leases(&mut self) {
+        if !self.state_down() {
+            let now = self.now;
+            let over: Vec<u64> = self.store.leases.iter().filter(|(_, t)| **t <= now).map(|(id, _)| *id).collect();
+            for id in over {
+                self.store.end_lease(id);
+            }
+        }
+        self.after(Micros::from_millis(20), World::expire_leases);
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn outage(&mut self, span: Micros) {
+        let end = self.now + span;
+        self.store.outage_until = end;
+        self.at(end, |w| {
+            let until = w.now + w.ttl;
+            for t in w.store.leases.values_mut() {
+                *t = until;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/tests/sim/worker.rs
@@ -0,0 +1,508 @@
+//! Workers, as the protocol describes them.
+
+use super::{Host, World};
+use hopyoke::ids::{Attempt, JobId, MachineId, TaskId, Token};
+use hopyoke::time::Micros;
+use hopyoke::wire::user::JobKind;
+use hopyoke::wire::worker::{ExitReason, Order, Report, TaskReport, TaskState};
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone)]
+pub struct Task {
+    pub state: TaskState,
+    pub why: Option<ExitReason>,
+    pub saved: bool,
+    pub started: Micros,
+}
+
+pub struct Worker {
+    pub id: MachineId,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub drift: f64,
+    pub up: bool,
+    pub rented_at: Micros,
+    pub hung_until: Micros,
+    pub sick: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: Token,
+    pub notice: Option<Micros>,
+    pub tasks: BTreeMap<(TaskId, Attempt), Task>,
+    pub images: Vec<String>,
+    /// The lease runs from here.
+    pub lease_from: Micros,
+    pub node: usize,
+    /// Number of the report in flight.
+    pub in_flight: Option<u64>,
+    pub last_report: Micros,
+    wanted: bool,
+}
+
+impl Worker {
+    pub fn new(id: MachineId, kind: &str, zone: &str, spot: bool, drift: f64, now: Micros) -> Worker {
+        Worker {
+            id,
+            kind: kind.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            drift,
+            up: false,
+            rented_at: now,
+            hung_until: Micros::ZERO,
+            sick: false,
+            session: 1,
+            seq: 0,
+            token: Token(0),
+            notice: None,
+            tasks: BTreeMap::new(),
+            images: Vec::new(),
+            lease_from: now,
+            node: 0,
+            in_flight: None,
+            last_report: Micros::ZERO,
+            wanted: false,
+        }
+    }
+
+    pub fn report(&mut self, now: Micros) -> Report {
+        self.seq += 1;
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|((task, attempt), t)| TaskReport {
+                task: task.to_string(),
+                attempt: *attempt,
+                state: t.state,
+                why: t.why,
+                saved: t.saved,
+            })
+            .collect();
+        Report {
+            machine: self.id.clone(),
+            address: format!("10.1.0.1:{}", 1000 + self.id.as_str()[2..].parse::<u32>().unwrap_or(0)),
+            machine_type: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice.map(|t| (t - now).as_secs_f64()),
+            tasks,
+        }
+    }
+}
+
+impl World {
+    pub fn boot(&mut self, id: &MachineId) {
+        let nodes = self.nodes.len() as u64;
+        let node = self.random(0, nodes - 1) as usize;
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.up = true;
+        m.lease_from = now;
+        m.node = node;
+        let id = id.clone();
+        self.worker_turn(&id, m_session(self, &id));
+        self.worker_loop(&id);
+    }
+
+    /// The worker's own timer.
+    fn worker_loop(&mut self, id: &MachineId) {
+        let base = self.cfg.report.0;
+        let wait = Micros(self.random(base * 3 / 4, base * 5 / 4));
+        let m = id.clone();
+        self.after(wait, move |w| {
+            if w.machines.contains_key(&m) {
+                let s = m_session(w, &m);
+                w.worker_turn(&m, s);
+                w.worker_loop(&m);
+            }
+        });
+        let m = id.clone();
+        self.lease_check(&m);
+    }
+
+    /// Kills everything when the last answered report was sent too long ago.
+    fn lease_check(&mut self, id: &MachineId) {
+        let lease = self.cfg.lease;
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let limit = Micros((lease.0 as f64 * (1.0 + m.drift)) as u64);
+        if now > m.lease_from + limit {
+            m.session += 1;
+            m.lease_from = now;
+            m.in_flight = None;
+            let gone: Vec<(TaskId, Attempt)> = std::mem::take(&mut m.tasks).into_keys().collect();
+            self.log(|| format!("{id} session over, {} tasks killed", gone.len()));
+            for (t, a) in gone {
+                self.gang_lost(&t.job, a);
+            }
+        } else {
+            let at = m.lease_from + limit + Micros(1);
+            let id = id.clone();
+            self.at(at, move |w| w.lease_check(&id));
+        }
+    }
+
+    pub fn hung(&self, id: &MachineId) -> Option<Micros> {
+        self.machines.get(id).map(|m| m.hung_until).filter(|t| *t > self.now)
+    }
+
+    /// Reports soon, because something has changed.
+    pub fn report_soon(&mut self, id: &MachineId) {
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if std::mem::replace(&mut m.wanted, true) {
+            return;
+        }
+        let at = now.max(m.last_report + Micros::from_millis(500));
+        let id = id.clone();
+        self.at(at, move |w| {
+            if let Some(m) = w.machines.get_mut(&id) {
+                m.wanted = false;
+                let s = m.session;
+                w.worker_turn(&id, s);
+            }
+        });
+    }
+
+    fn worker_turn(&mut self, id: &MachineId, _session: u64) {
+        if let Some(t) = self.hung(id) {
+            let m = id.clone();
+            return self.at(t, move |w| w.worker_turn(&m, 0));
+        }
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if !m.up || m.in_flight.is_some() {
+            return;
+        }
+        let report = m.report(now);
+        let number = m.seq;
+        m.in_flight = Some(number);
+        m.last_report = now;
+        let node = m.node;
+        let me = id.clone();
+        self.send(Host::Workers, Host::Node(node), move |w| w.node_report(node, report, number));
+        let session = m_session(self, id);
+        self.after(Micros::from_secs(4), move |w| {
+            w.report_answered(&me, session, number, now, None);
+        });
+    }
+
+    /// An answer to a report, or its absence. `Some(Ok)`: 200, `Some(Err)`: another node.
+    pub fn report_answered(
+        &mut self,
+        id: &MachineId,
+        session: u64,
+        number: u64,
+        sent: Micros,
+        answer: Option<Result<(Token, Vec<Order>), Option<usize>>>,
+    ) {
+        if let Some(t) = self.hung(id) {
+            let id = id.clone();
+            return self.at(t, move |w| w.report_answered(&id, session, number, sent, answer));
+        }
+        let nodes = self.nodes.len();
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if m.in_flight != Some(number) || m.session != session {
+            return;
+        }
+        if now > sent + Micros::from_secs(4) && answer.is_some() {
+            return;
+        }
+        m.in_flight = None;
+        match answer {
+            Some(Ok((token, orders))) => {
+                if token >= m.token {
+                    let higher = token > m.token;
+                    m.token = token;
+                    m.lease_from = sent;
+                    if higher {
+                        self.report_soon(id);
+                    }
+                    self.execute(id, orders);
+                }
+            }
+            Some(Err(Some(to))) if to != m.node => {
+                m.node = to;
+                let id = id.clone();
+                self.after(Micros::from_millis(100), move |w| w.worker_turn(&id, 0));
+            }
+            _ => {
+                m.node = (m.node + 1) % nodes;
+                let id = id.clone();
+                self.after(Micros::from_secs(1), move |w| w.worker_turn(&id, 0));
+            }
+        }
+    }
+
+    /// Orders sent straight to a worker; `None`: hanging or gone, no answer (now).
+    pub fn direct(
+        &mut self,
+        id: &MachineId,
+        token: Token,
+        session: u64,
+        orders: Vec<Order>,
+    ) -> Option<(bool, Report)> {
+        let now = self.now;
+        let m = self.machines.get_mut(id)?;
+        let ok = token >= m.token && session == m.session;
+        if ok {
+            m.token = token;
+            self.execute(id, orders);
+        }
+        let m = self.machines.get_mut(id)?;
+        Some((ok, m.report(now)))
+    }
+
+    pub fn execute(&mut self, id: &MachineId, orders: Vec<Order>) {
+        for order in orders {
+            self.log(|| format!("{id} {order:?}"));
+            match order {
+                Order::Start { task, attempt } => self.start(id, &task, attempt),
+                Order::Stop { task, attempt, grace_s } => self.stop(id, &task, attempt, grace_s),
+                Order::Forget { task, attempt } => {
+                    if let (Some(t), Some(m)) = (TaskId::parse(&task), self.machines.get_mut(id))
+                        && m.tasks.get(&(t.clone(), attempt)).is_some_and(|x| x.state == TaskState::Ended)
+                    {
+                        m.tasks.remove(&(t, attempt));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, id: &MachineId, task: &str, attempt: Attempt) {
+        let now = self.now;
+        let Some(task) = TaskId::parse(task) else { return };
+        let spec = self.jobs.get(&task.job).map(|j| j.spec.clone());
+        let types = self.types.clone();
+        let jobs: BTreeMap<JobId, (f64, f64, f64)> =
+            self.jobs.iter().map(|(k, j)| (k.clone(), (j.spec.cpus, j.spec.gpus, j.spec.memory_gb))).collect();
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let key = (task.clone(), attempt);
+        if m.tasks.contains_key(&key) {
+            return;
+        }
+        let live = |t: &Task| t.state != TaskState::Ended;
+        let busy = m.tasks.iter().any(|((t, _), x)| *t == task && live(x));
+        let kind = types.iter().find(|t| t.name == m.kind);
+        let mut used = (0.0, 0.0, 0.0);
+        for ((t, _), _) in m.tasks.iter().filter(|(_, x)| live(x)) {
+            if let Some(j) = jobs.get(&t.job) {
+                used = (used.0 + j.0, used.1 + j.1, used.2 + j.2);
+            }
+        }
+        let why = match (&spec, kind) {
+            (None, _) => Some(ExitReason::NoSuch),
+            (Some(_), _) if busy => Some(ExitReason::Busy),
+            (Some(s), Some(k))
+                if used.0 + s.cpus > k.cpus + 1e-6
+                    || used.1 + s.gpus > k.gpus + 1e-6
+                    || used.2 + s.memory_gb > k.memory_gb + 1e-6 =>
+            {
+                Some(ExitReason::NoRoom)
+            }
+            _ => None,
+        };
+        let state = if why.is_some() { TaskState::Ended } else { TaskState::Fetching };
+        m.tasks.insert(key, Task { state, why, saved: false, started: now });
+        let (Some(spec), None) = (spec, why) else { return self.report_soon(id) };
+        let cached = m.images.contains(&spec.image);
+        let rate = kind.map_or(1.0, |k| k.fetch_gb_per_s);
+        let fetch = if cached { Micros::from_millis(1) } else { Micros::from_secs_f64(spec.image_gb / rate) };
+        let session = m.session;
+        let me = id.clone();
+        self.report_soon(id);
+        self.after(fetch, move |w| w.fetched(&me, session, task, attempt));
+    }
+
+    fn live(&mut self, id: &MachineId, session: u64, key: &(TaskId, Attempt)) -> Option<&mut Task> {
+        let m = self.machines.get_mut(id)?;
+        if m.session != session {
+            return None;
+        }
+        m.tasks.get_mut(key).filter(|t| t.state != TaskState::Ended)
+    }
+
+    fn fetched(&mut self, id: &MachineId, session: u64, task: TaskId, attempt: Attempt) {
+        if let Some(t) = self.hung(id) {
+            let id = id.clone();
+            return self.at(t, move |w| w.fetched(&id, session, task, attempt));
+        }
+        let key = (task.clone(), attempt);
+        if self.live(id, session, &key).is_none_or(|t| t.state != TaskState::Fetching) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.starts += 1;
+        let (spec, done, fails) = (job.spec.clone(), job.done[task.index as usize], job.fails);
+        self.check_start(id, &task, attempt);
+        if let Some(m) = self.machines.get_mut(id)
+            && !m.images.contains(&spec.image)
+        {
+            m.images.push(spec.image.clone());
+        }
+        let sick = self.machines.get(id).is_some_and(|m| m.sick);
+        if done {
+            return self.exit(id, &key, ExitReason::Done, false);
+        }
+        if sick || fails {
+            return self.exit(id, &key, ExitReason::Error, false);
+        }
+        if spec.kind == JobKind::Gang {
+            if let Some(t) = self.live(id, session, &key) {
+                t.state = TaskState::Waiting;
+            }
+            let wait = self.cfg.gang_wait;
+            let (me, k) = (id.clone(), key.clone());
+            self.after(wait, move |w| {
+                if w.live(&me, session, &k).is_some_and(|t| t.state == TaskState::Waiting) {
+                    w.exit(&me, &k, ExitReason::Incomplete, false);
+                }
+            });
+            self.report_soon(id);
+            return self.gang_ready(&task.job, attempt);
+        }
+        self.begin(id, session, &key);
+    }
+
+    fn begin(&mut self, id: &MachineId, session: u64, key: &(TaskId, Attempt)) {
+        let now = self.now;
+        if let Some(t) = self.live(id, session, key) {
+            t.state = TaskState::Running;
+            t.started = now;
+        }
+        self.report_soon(id);
+        let Some(job) = self.jobs.get(&key.0.job) else { return };
+        if job.spec.kind == JobKind::Service {
+            return;
+        }
+        let left = job.run - job.saved;
+        let (me, k) = (id.clone(), key.clone());
+        self.after(left, move |w| w.complete(&me, session, &k));
+    }
+
+    fn complete(&mut self, id: &MachineId, session: u64, key: &(TaskId, Attempt)) {
+        if let Some(t) = self.hung(id) {
+            let (id, key) = (id.clone(), key.clone());
+            return self.at(t, move |w| w.complete(&id, session, &key));
+        }
+        if self.live(id, session, key).is_none_or(|t| t.state != TaskState::Running) {
+            return;
+        }
+        let gang = self.jobs.get(&key.0.job).is_some_and(|j| j.spec.kind == JobKind::Gang);
+        let members = if gang { self.members(&key.0.job, key.1) } else { vec![(id.clone(), key.0.clone())] };
+        // A gang that lost a task, or of which a machine hangs, makes no progress.
+        let whole = self.jobs.get(&key.0.job).is_some_and(|j| members.len() == j.spec.tasks as usize);
+        if gang && (!whole || members.iter().any(|(m, _)| self.hung(m).is_some())) {
+            return;
+        }
+        for (m, task) in members {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.done[task.index as usize] = true;
+                if job.done.iter().all(|d| *d) {
+                    job.done_at.get_or_insert(self.now);
+                }
+            }
+            self.exit(&m, &(task, key.1), ExitReason::Done, false);
+        }
+    }
+
+    fn members(&self, job: &JobId, attempt: Attempt) -> Vec<(MachineId, TaskId)> {
+        let mut out = Vec::new();
+        for m in self.machines.values() {
+            for ((t, a), x) in &m.tasks {
+                if t.job == *job && *a == attempt && x.state != TaskState::Ended {
+                    out.push((m.id.clone(), t.clone()));
+                }
+            }
+        }
+        out
+    }
+
+    fn gang_ready(&mut self, job: &JobId, attempt: Attempt) {
+        let members = self.members(job, attempt);
+        let Some(truth) = self.jobs.get(job) else { return };
+        let waiting = |w: &World, m: &MachineId, t: &TaskId| {
+            w.machines[m].tasks[&(t.clone(), attempt)].state == TaskState::Waiting
+        };
+        if members.len() == truth.spec.tasks as usize && members.iter().all(|(m, t)| waiting(self, m, t)) {
+            for (m, t) in members {
+                let s = m_session(self, &m);
+                self.begin(&m, s, &(t, attempt));
+            }
+        }
+    }
+
+    /// The other tasks of a running gang notice that one is gone.
+    pub fn gang_lost(&mut self, job: &JobId, attempt: Attempt) {
+        let peer = self.cfg.gang_peer;
+        if self.jobs.get(job).is_none_or(|j| j.spec.kind != JobKind::Gang) {
+            return;
+        }
+        for (m, t) in self.members(job, attempt) {
+            let key = (t, attempt);
+            let running = self.machines[&m].tasks[&key].state;
+            if matches!(running, TaskState::Running | TaskState::Saving) {
+                let s = m_session(self, &m);
+                let wait = Micros(self.random(0, peer.0));
+                self.after(wait, move |w| {
+                    if w.live(&m, s, &key).is_some() {
+                        w.exit(&m, &key, ExitReason::PeersGone, false);
+                    }
+                });
+            }
+        }
+    }
+
+    fn stop(&mut self, id: &MachineId, task: &str, attempt: Attempt, grace_s: f64) {
+        let Some(task) = TaskId::parse(task) else { return };
+        let key = (task, attempt);
+        let session = m_session(self, id);
+        let Some(job) = self.jobs.get(&key.0.job) else { return };
+        let spec = job.spec.clone();
+        let Some(t) = self.live(id, session, &key) else { return };
+        let saves = t.state == TaskState::Running && spec.checkpoint_s > 0.0 && grace_s >= spec.save_s;
+        if t.state == TaskState::Saving && grace_s > 0.0 {
+            return;
+        }
+        if !saves {
+            return self.exit(id, &key, ExitReason::Stopped, false);
+        }
+        t.state = TaskState::Saving;
+        let progress = self.now - self.machines[id].tasks[&key].started;
+        let me = id.clone();
+        self.report_soon(id);
+        self.after(Micros::from_secs_f64(spec.save_s), move |w| {
+            if w.live(&me, session, &key).is_none_or(|t| t.state != TaskState::Saving) {
+                return;
+            }
+            let whole = w.members(&key.0.job, key.1).len() as u32 == spec.tasks;
+            if whole && let Some(job) = w.jobs.get_mut(&key.0.job) {
+                job.saved = (job.saved + progress).min(job.run);
+            }
+            w.exit(&me, &key, ExitReason::Stopped, whole);
+        });
+    }
+
+    fn exit(&mut self, id: &MachineId, key: &(TaskId, Attempt), why: ExitReason, saved: bool) {
+        if let Some(t) = self.machines.get_mut(id).and_then(|m| m.tasks.get_mut(key)) {
+            t.state = TaskState::Ended;
+            t.why = Some(why);
+            t.saved = saved;
+        }
+        self.log(|| format!("{id} {} exits: {why:?}", key.0));
+        self.report_soon(id);
+        if why != ExitReason::Done {
+            self.gang_lost(&key.0.job, key.1);
+        }
+    }
+}
+
+pub fn m_session(w: &World, id: &MachineId) -> u64 {
+    w.machines.get(id).map_or(0, |m| m.session)
+}
