--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -126,6 +126,9 @@
     pub token: Token,
     /// When we learned of the grant.
     started: Micros,
+    /// When we last began, or began again, to act.
+    resumed: Micros,
+    last_settled: Micros,
     pub jobs: BTreeMap<JobId, Job>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub types: Vec<MachineType>,
@@ -158,6 +161,8 @@
             cfg,
             token,
             started: now,
+            resumed: now,
+            last_settled: now,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             types: Vec::new(),
@@ -254,7 +259,12 @@
 
     /// All of a tick but the sending of direct orders.
     fn settle(&mut self, now: Micros) {
+        if now > self.last_settled + Micros::from_secs(1) {
+            self.resumed = now;
+        }
+        self.last_settled = now;
         self.lapse_leases(now);
+        self.give_up_silent(now);
         self.note_recovery(now);
         if self.changed || now >= self.next_plan {
             self.changed = false;
@@ -312,6 +322,32 @@
         self.types.iter().find(|t| t.name == name)
     }
 
+    /// A machine that has fallen silent while most others report is given up: its deletion proves
+    /// that its tasks are gone, sooner than its lease's lapse would. Were it this node that is cut
+    /// off, most would be silent, and nothing is deleted.
+    fn give_up_silent(&mut self, now: Micros) {
+        let silent_after = (self.cfg.report.times(4)).max(Micros::from_secs(8));
+        // After a takeover, or a time in which we were not entitled to answer (scenario
+        // outage_short), workers need a moment to find us.
+        let since = |m: &Machine| m.last_seen.max(self.resumed + Micros::from_secs(1));
+        let watched: Vec<&Machine> =
+            self.machines.values().filter(|m| m.registered && m.phase != Phase::Lost && !m.deleting).collect();
+        let fresh =
+            watched.iter().filter(|m| m.phase == Phase::Up && now < m.last_seen + self.cfg.report.times(2));
+        if watched.len() < 3 || fresh.count() * 10 < watched.len() * 6 {
+            return;
+        }
+        let silent: Vec<MachineId> =
+            watched.iter().filter(|m| now >= since(m) + silent_after).map(|m| m.id.clone()).collect();
+        for id in silent {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.deleting = true;
+                self.changed = true;
+                info!(machine = %id, zone = %m.zone, spot = m.spot, "machine silent: giving it up");
+            }
+        }
+    }
+
     /// Sessions end by themselves when we have not answered for long enough; then everything on
     /// the machine is gone. (Guards `ran_twice`: not a moment earlier.)
     fn lapse_leases(&mut self, now: Micros) {
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -91,8 +91,10 @@
             || self.machines.values().any(|m| self.wants_register(m))
     }
 
+    /// A machine is registered once its worker has reported, and before its first task: so the
+    /// next leader waits for no machine that still boots.
     fn wants_register(&self, m: &super::Machine) -> bool {
-        !m.registered && !m.deleting && !self.writes.registering.contains(&m.id)
+        m.phase == super::Phase::Up && !m.registered && !m.deleting && !self.writes.registering.contains(&m.id)
     }
 
     /// The next batch of writes, if some are due and the rate allows it.
@@ -205,7 +207,10 @@
                     self.writes.registering.remove(&machine);
                     if result.is_ok() {
                         match self.machines.get_mut(&machine) {
-                            Some(m) => m.registered = true,
+                            Some(m) => {
+                                m.registered = true;
+                                m.orders_changed = true;
+                            }
                             // Deleted meanwhile.
                             None => self.writes.unregister(machine),
                         }
