--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -28,6 +28,8 @@
     /// Images it has or fetches.
     images: Vec<String>,
     empty: bool,
+    /// Replicas on it, which stay long.
+    replicas: u32,
     failed_jobs: BTreeSet<JobId>,
 }
 
@@ -186,6 +188,7 @@
                     free: total - m.used(),
                     images,
                     empty: !m.has_live(),
+                    replicas: replicas(m),
                     failed_jobs: m.failed_jobs.clone(),
                 })
             })
@@ -210,6 +213,7 @@
             free: total,
             images: Vec::new(),
             empty: true,
+            replicas: 0,
             failed_jobs: BTreeSet::new(),
         })
     }
@@ -422,8 +426,12 @@
         if !bin.empty {
             score += 20.0;
         }
-        // Services are spread so that one zone's end takes few of a job's replicas.
         if needs.spec.kind == JobKind::Service {
+            // Replicas stay long: packed together they leave whole machines to gangs, and to be
+            // returned. Spread over zones, one zone's end takes few of a job's.
+            if bin.replicas > 0 {
+                score += 70.0;
+            }
             score -= 30.0 * f64::from(needs.zones.get(&bin.zone).copied().unwrap_or(0));
         }
         // Best fit.
@@ -548,6 +556,12 @@
     }
 }
 
+/// Replicas of services on a machine.
+fn replicas(m: &Machine) -> u32 {
+    let service = |s: &&Slot| s.is_live() && s.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service);
+    m.slots.values().filter(service).count() as u32
+}
+
 impl Plan {
     /// Charges `n` tasks to their team unless that exceeds its limit.
     fn charge(&mut self, needs: &Needs, n: f64, team: Option<&Team>) -> bool {
@@ -571,6 +585,7 @@
         let b = &mut self.bins[bin];
         b.free = b.free - needs.task;
         b.empty = false;
+        b.replicas += u32::from(needs.spec.kind == JobKind::Service);
         if !b.images.contains(&needs.spec.image) {
             b.images.push(needs.spec.image.clone());
         }
