--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -294,6 +294,7 @@
         }
         let Some(bins) = self.choose_all(&needs, plan, count, now) else {
             plan.refund(&needs, f64::from(count));
+            self.reserve(&needs, plan, count);
             return "machines";
         };
         if !bins.iter().all(|&b| plan.bins[b].ready) {
@@ -366,6 +367,52 @@
         None
     }
 
+    /// A gang that finds no room keeps lesser work off the machines that will hold it: without
+    /// this, single tasks take every place that falls free, and gangs starve. Machines without
+    /// replicas, which stay long, are chosen; the emptiest first, and in one zone if it must be.
+    fn reserve(&self, needs: &Needs, plan: &mut Plan, count: u32) {
+        let mut best: Option<(u32, u32, Vec<usize>)> = None;
+        let zones: Vec<Option<&String>> =
+            if needs.spec.one_zone { self.cfg.zones.iter().map(Some).collect() } else { vec![None] };
+        for zone in zones {
+            let mut fits: Vec<(u32, u32, usize)> = plan
+                .bins
+                .iter()
+                .enumerate()
+                .filter(|(_, b)| zone.is_none_or(|z| b.zone == *z) && b.replicas == 0 && self.allowed(needs, b))
+                .filter_map(|(i, b)| {
+                    let total = Amounts::of_type(self.machine_type(&b.machine_type)?).holds(&needs.task);
+                    let now = b.free.holds(&needs.task);
+                    (total > 0).then_some((now, total, i))
+                })
+                .collect();
+            fits.sort_by_key(|f| std::cmp::Reverse((f.0, f.1)));
+            let (mut room, mut now, mut taken) = (0, 0, Vec::new());
+            for (free, total, i) in fits {
+                if room >= count {
+                    break;
+                }
+                room += total;
+                now += free;
+                taken.push(i);
+            }
+            if best.as_ref().is_none_or(|b| (room.min(count), now) > (b.0, b.1)) {
+                best = Some((room.min(count), now, taken));
+            }
+        }
+        if let Some((room, _, taken)) = best
+            && room >= count
+        {
+            for i in taken {
+                let b = &mut plan.bins[i];
+                b.free = Amounts::default();
+                if let Some(m) = &b.machine {
+                    plan.wanted.insert(m.clone());
+                }
+            }
+        }
+    }
+
     /// The job may use this machine.
     fn allowed(&self, needs: &Needs, bin: &Bin) -> bool {
         let s = &needs.spec;
