--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -58,6 +58,8 @@
     task: Amounts,
     /// It failed on several machines, so no machine is avoided for that.
     suspect: bool,
+    /// Spot machines are to be had: it leaves empty ordinary ones to work that needs them.
+    spare_ordinary: bool,
     /// Places of the job's tasks by zone.
     zones: BTreeMap<String, u32>,
 }
@@ -231,6 +233,7 @@
             spec: job.spec.clone(),
             task: Amounts::of_task(&job.spec),
             suspect: job.suspect(),
+            spare_ordinary: false,
             zones,
         })
     }
@@ -255,6 +258,7 @@
             if !plan.charge(&needs, 1.0, self.team(&needs.spec.team)) {
                 return "its team's limit";
             }
+            needs.spare_ordinary = needs.spec.spot && self.spot_offered(&needs, now);
             let Some(bin) = self.choose(&needs, plan, None, left, now) else {
                 plan.refund(&needs, 1.0);
                 return "machines";
@@ -341,6 +345,7 @@
                 spec: needs.spec.clone(),
                 task: needs.task,
                 suspect: needs.suspect,
+                spare_ordinary: false,
                 zones: needs.zones.clone(),
             };
             let mut taken = Vec::new();
@@ -419,6 +424,7 @@
         s.types.as_ref().is_none_or(|t| t.contains(&bin.machine_type))
             && s.zone.as_ref().is_none_or(|z| *z == bin.zone)
             && (s.spot || !bin.spot)
+            && !(needs.spare_ordinary && !bin.spot && bin.empty)
             && (needs.suspect || !bin.failed_jobs.contains(&needs.id))
     }
 
@@ -485,6 +491,11 @@
         score - (bin.free.gpus - needs.task.gpus) - (bin.free.cpus - needs.task.cpus) / 16.0
     }
 
+    /// The cloud has not refused every kind of spot machine that the job may use.
+    fn spot_offered(&self, needs: &Needs, now: Micros) -> bool {
+        self.best_offer(needs, None, 1, now).is_some_and(|o| o.spot)
+    }
+
     fn best_offer(&self, needs: &Needs, zone: Option<&str>, left: u32, now: Micros) -> Option<Offer> {
         let s = &needs.spec;
         let mut best: Option<(f64, Offer)> = None;
