--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -145,6 +145,8 @@
     actions: VecDeque<Action>,
     changed: bool,
     next_plan: Micros,
+    /// No replica is moved before this.
+    next_move: Micros,
 }
 
 impl Core {
@@ -175,6 +177,7 @@
             actions: VecDeque::new(),
             changed: true,
             next_plan: Micros::ZERO,
+            next_move: Micros::ZERO,
         };
         for (id, record, mark) in jobs {
             core.job_seen(id, record, mark, now);
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -15,6 +15,7 @@
 use crate::wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use tracing::info;
 
 /// A machine, real or yet to be rented, in a plan.
 struct Bin {
@@ -98,6 +99,7 @@
         for s in std::mem::take(&mut plan.starts) {
             self.start(s, now);
         }
+        self.consolidate(&plan, now);
         Demand { offers: plan.demand, wanted: plan.wanted }
     }
 
@@ -418,6 +420,49 @@
         }
     }
 
+    /// Moves a replica that keeps a machine half empty to one that has room and its image: the
+    /// machine can then hold a gang, or be returned. One at a time, and none that has just
+    /// started. (Moving replicas to drain a machine is allowed.)
+    fn consolidate(&mut self, plan: &Plan, now: Micros) {
+        if now < self.next_move || self.recovering() {
+            return;
+        }
+        let settled = Micros::from_secs(40);
+        let found = self.machines.values().find_map(|m| {
+            let total = Amounts::of_type(self.machine_type(&m.machine_type)?);
+            let mut live = m.slots.iter().filter(|(_, s)| s.is_live());
+            let ((task, attempt), slot) = live.next()?;
+            let spec = slot.spec.as_ref()?;
+            let lone = live.next().is_none() && m.phase == Phase::Up && !m.deleting;
+            let ran = slot.running_since.is_some_and(|t| now >= t + settled);
+            if !lone || !ran || slot.stop.is_some() || spec.kind != JobKind::Service {
+                return None;
+            }
+            let mut needs = self.needs(&task.job)?;
+            if let Some(n) = needs.zones.get_mut(&m.zone) {
+                *n -= 1;
+            }
+            let size = |free: &Amounts| free.holds(&needs.task);
+            let better = plan.bins.iter().any(|b| {
+                b.ready
+                    && b.machine.as_ref().is_some_and(|o| *o != m.id)
+                    && b.replicas > 0
+                    && b.images.contains(&spec.image)
+                    && needs.task.fits_in(&b.free)
+                    // Only from the emptier to the fuller, or moves would never end.
+                    && size(&b.free) <= size(&(total - needs.task))
+                    && self.allowed(&needs, b)
+                    && self.zone_allows(&needs, &b.zone)
+            });
+            better.then(|| (m.id.clone(), task.clone(), *attempt, spec.save_s))
+        });
+        if let Some((machine, task, attempt, grace)) = found {
+            info!(machine = %machine, task = %task, "moving replica to drain machine");
+            self.next_move = now + Micros::from_secs(4);
+            self.stop_slot(&machine, &task.job, task.index, attempt, grace);
+        }
+    }
+
     /// The job may use this machine.
     fn allowed(&self, needs: &Needs, bin: &Bin) -> bool {
         let s = &needs.spec;
