--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -17,6 +17,12 @@
 use std::rc::Rc;
 use tracing::info;
 
+/// What making room costs, in which bin, and who must go.
+type Room = (f64, usize, Vec<TaskKey>);
+
+/// One attempt of one task.
+type TaskKey = (TaskId, Attempt);
+
 /// A machine, real or yet to be rented, in a plan.
 struct Bin {
     machine: Option<MachineId>,
@@ -31,6 +37,8 @@
     empty: bool,
     /// Replicas on it, which stay long.
     replicas: u32,
+    /// What its tasks will free that have been told to go at once.
+    freeing: Amounts,
     failed_jobs: BTreeSet<JobId>,
 }
 
@@ -50,6 +58,8 @@
     demand: BTreeMap<Offer, u32>,
     /// Machines that the plan counts on.
     wanted: BTreeSet<MachineId>,
+    /// Tasks to be stopped for more important ones.
+    victims: Vec<(MachineId, TaskKey)>,
 }
 
 /// What the placement of one job must look at.
@@ -74,6 +84,7 @@
             starts: Vec::new(),
             demand: BTreeMap::new(),
             wanted: BTreeSet::new(),
+            victims: Vec::new(),
         };
         // A task on a machine whose job we don't know may belong to any team: until it is gone
         // (it has been told to stop) nothing that counts against a limit is started.
@@ -99,6 +110,10 @@
         for s in std::mem::take(&mut plan.starts) {
             self.start(s, now);
         }
+        for (machine, (task, attempt)) in std::mem::take(&mut plan.victims) {
+            info!(machine = %machine, task = %task, "preempted for a production task");
+            self.stop_slot(&machine, &task.job, task.index, attempt, 0.0);
+        }
         self.consolidate(&plan, now);
         Demand { offers: plan.demand, wanted: plan.wanted }
     }
@@ -193,6 +208,7 @@
                     images,
                     empty: !m.has_live(),
                     replicas: replicas(m),
+                    freeing: freeing(m),
                     failed_jobs: m.failed_jobs.clone(),
                 })
             })
@@ -218,6 +234,7 @@
             images: Vec::new(),
             empty: true,
             replicas: 0,
+            freeing: Amounts::default(),
             failed_jobs: BTreeSet::new(),
         })
     }
@@ -261,9 +278,22 @@
                 return "its team's limit";
             }
             needs.spare_ordinary = needs.spec.spot && self.spot_offered(&needs, now);
-            let Some(bin) = self.choose(&needs, plan, None, left, now) else {
-                plan.refund(&needs, 1.0);
-                return "machines";
+            let bin = match self.choose_ready(&needs, plan, None) {
+                Some(bin) if plan.bins[bin].ready => bin,
+                _ => match self.preempt(&needs, plan, now) {
+                    Some(zone) => {
+                        *needs.zones.entry(zone).or_default() += 1;
+                        left -= 1;
+                        continue;
+                    }
+                    None => match self.choose(&needs, plan, None, left, now) {
+                        Some(bin) => bin,
+                        None => {
+                            plan.refund(&needs, 1.0);
+                            return "machines";
+                        }
+                    },
+                },
             };
             left -= 1;
             plan.take(bin, &mut needs);
@@ -485,6 +515,18 @@
 
     /// The best bin for one task of a job; opens a new one if none has room.
     fn choose(&self, needs: &Needs, plan: &mut Plan, zone: Option<&str>, left: u32, now: Micros) -> Option<usize> {
+        if let Some(i) = self.choose_ready(needs, plan, zone) {
+            return Some(i);
+        }
+        let offer = self.best_offer(needs, zone, left, now)?;
+        let bin = self.new_bin(&offer)?;
+        *plan.demand.entry(offer).or_default() += 1;
+        plan.bins.push(bin);
+        Some(plan.bins.len() - 1)
+    }
+
+    /// The best bin with room, ready ones first.
+    fn choose_ready(&self, needs: &Needs, plan: &Plan, zone: Option<&str>) -> Option<usize> {
         let mut best: Option<(f64, usize)> = None;
         for (i, bin) in plan.bins.iter().enumerate() {
             if !needs.task.fits_in(&bin.free)
@@ -499,14 +541,64 @@
                 best = Some((score, i));
             }
         }
-        if let Some((_, i)) = best {
-            return Some(i);
+        best.map(|(_, i)| i)
+    }
+
+    /// Makes room for a production task on a machine that is up by stopping tasks of arrays of
+    /// lower priority: nobody else is preempted, for arrays lose least. The room is taken in the
+    /// plan; the task starts once the others have exited. Returns the zone.
+    fn preempt(&self, needs: &Needs, plan: &mut Plan, now: Micros) -> Option<String> {
+        if needs.spec.priority != Priority::Production {
+            return None;
+        }
+        let mut best: Option<Room> = None;
+        for (i, bin) in plan.bins.iter().enumerate() {
+            if !bin.ready || !self.allowed(needs, bin) || !self.zone_allows(needs, &bin.zone) {
+                continue;
+            }
+            let image = if bin.images.contains(&needs.spec.image) { 0.0 } else { 1000.0 };
+            let mut room = bin.free + bin.freeing;
+            let mut victims = Vec::new();
+            let mut lost = 0.0;
+            let Some(m) = bin.machine.as_ref().and_then(|m| self.machines.get(m)) else { continue };
+            let mut candidates: Vec<(f64, &TaskKey, &Slot)> = m
+                .slots
+                .iter()
+                .filter(|(k, s)| s.is_live() && s.stop.is_none() && !plan.victims.iter().any(|v| v.1 == **k))
+                .filter(|(_, s)| {
+                    s.spec.as_ref().is_some_and(|v| v.kind == JobKind::Array && v.priority > needs.spec.priority)
+                })
+                .map(|(k, s)| (s.running_since.map_or(0.0, |t| (now - t).as_secs_f64()), k, s))
+                .collect();
+            candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+            for (ran, key, slot) in candidates {
+                if needs.task.fits_in(&room) {
+                    break;
+                }
+                room = room + slot.amounts();
+                lost += ran + 1.0;
+                victims.push(key.clone());
+            }
+            if !needs.task.fits_in(&room) {
+                continue;
+            }
+            let cost = image + lost;
+            if best.as_ref().is_none_or(|b| cost < b.0) {
+                best = Some((cost, i, victims));
+            }
         }
-        let offer = self.best_offer(needs, zone, left, now)?;
-        let bin = self.new_bin(&offer)?;
-        *plan.demand.entry(offer).or_default() += 1;
-        plan.bins.push(bin);
-        Some(plan.bins.len() - 1)
+        let (_, i, victims) = best?;
+        let bin = &mut plan.bins[i];
+        let machine = bin.machine.clone()?;
+        let freed = victims.iter().filter_map(|k| self.machines.get(&machine)?.slots.get(k)).map(Slot::amounts);
+        let freed = freed.fold(Amounts::default(), |a, b| a + b);
+        // Room that is promised to this task is neither free nor freeing for others.
+        bin.freeing = bin.freeing + bin.free + freed - needs.task;
+        bin.free = Amounts::default();
+        plan.wanted.insert(machine.clone());
+        let zone = bin.zone.clone();
+        plan.victims.extend(victims.into_iter().map(|k| (machine.clone(), k)));
+        Some(zone)
     }
 
     fn score(&self, needs: &Needs, bin: &Bin) -> f64 {
@@ -659,6 +751,12 @@
     }
 }
 
+/// What the tasks of a machine hold that have been told to end without saving.
+fn freeing(m: &Machine) -> Amounts {
+    let going = |s: &&Slot| s.is_live() && s.stop.is_some_and(|s| s.grace_s == 0.0);
+    m.slots.values().filter(going).fold(Amounts::default(), |a, s| a + s.amounts())
+}
+
 /// Replicas of services on a machine.
 fn replicas(m: &Machine) -> u32 {
     let service = |s: &&Slot| s.is_live() && s.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service);
