--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -134,6 +134,8 @@
     pub types: Vec<MachineType>,
     /// Machines that are gone for certain: the cloud confirmed their deletion.
     gone: BTreeSet<MachineId>,
+    /// What the cloud listed last.
+    listed: Option<BTreeSet<MachineId>>,
     /// Jobs whose record has left `job/`, oldest first. News of an earlier revision can arrive
     /// later than that of the end (by another path): it must not bring the job back.
     ended: VecDeque<JobId>,
@@ -169,6 +171,7 @@
             machines: BTreeMap::new(),
             types: Vec::new(),
             gone: BTreeSet::new(),
+            listed: None,
             ended: VecDeque::new(),
             ended_set: BTreeSet::new(),
             recovering: !register.is_empty(),
@@ -340,8 +343,15 @@
         if watched.len() < 3 || fresh.count() * 10 < watched.len() * 6 {
             return;
         }
-        let silent: Vec<MachineId> =
-            watched.iter().filter(|m| now >= since(m) + silent_after).map(|m| m.id.clone()).collect();
+        // One that the cloud no longer lists is most likely gone: the list proves nothing, but the
+        // deletion does.
+        let unlisted_after = self.cfg.report.times(2);
+        let unlisted = |m: &Machine| self.listed.as_ref().is_some_and(|l| !l.contains(&m.id));
+        let silent: Vec<MachineId> = watched
+            .iter()
+            .filter(|m| now >= since(m) + if unlisted(m) { unlisted_after } else { silent_after })
+            .map(|m| m.id.clone())
+            .collect();
         for id in silent {
             if let Some(m) = self.machines.get_mut(&id) {
                 m.deleting = true;
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -173,6 +173,7 @@
 
     /// The cloud's list. It lags, so it never proves that a machine is not there.
     pub fn listed(&mut self, list: &[Listed], now: Micros) {
+        self.listed = Some(list.iter().map(|l| l.id.clone()).collect());
         for l in list {
             if self.gone.contains(&l.id) {
                 continue;
