--- a/src/api.rs
+++ b/src/api.rs
@@ -97,6 +97,11 @@
     {
         return r;
     }
+    // Known not to answer: said at once rather than after another try has run out. The connection
+    // is closed, so that the user's next try can reach another node.
+    if !node.state.answers() && runtime::now() > node.state.last_answer() + Micros::from_secs(1) {
+        return later("the state service does not answer this node").closing();
+    }
     let own = own_answer(node, rest, request).await;
     if own.status == 503
         && request.method == Method::Post
