--- a/src/api.rs
+++ b/src/api.rs
@@ -235,9 +235,23 @@
     })
 }
 
+/// Tells the leader, in the background, that a job was accepted or cancelled here.
+fn nudge(node: &Rc<Node>, id: &JobId) {
+    if node.leading().is_some() {
+        return;
+    }
+    let (node, id) = (node.clone(), id.clone());
+    runtime::spawn_until(node.cancel.clone(), async move {
+        let leader = node.leader.borrow().clone();
+        if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) {
+            link.nudge(&node, &id).await;
+        }
+    });
+}
+
 /// Accepts a job: a write on the condition that there is no record of it, answered only once it
 /// is committed.
-async fn accept(node: &Node, spec: JobSpec) -> Result<Response, StateError> {
+async fn accept(node: &Rc<Node>, spec: JobSpec) -> Result<Response, StateError> {
     let id = spec.id.clone();
     if let Some(end) = node.finals.get(&id) {
         return Ok(finished(&id, end));
@@ -253,6 +267,7 @@
     let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
     match node.state.txn(conditions, changes).await? {
         TxnEnd::Applied(_) => {
+            nudge(node, &id);
             let answer = JobAnswer { id: id.as_str(), state: JobState::Queued, done: None, running: None };
             Ok(Response::of(201, &answer))
         }
@@ -265,7 +280,7 @@
 }
 
 /// Cancels a job: its record moves to its final place, or the final state that it has is told.
-async fn cancel(node: &Node, id: &JobId) -> Result<Response, StateError> {
+async fn cancel(node: &Rc<Node>, id: &JobId) -> Result<Response, StateError> {
     let started = runtime::now();
     loop {
         let (record, mark) = match lookup(node, id).await? {
@@ -280,6 +295,7 @@
         match node.state.txn(conditions, changes).await? {
             TxnEnd::Applied(_) => {
                 node.finals.add(id, end);
+                nudge(node, id);
                 if let Some(leading) = node.leading() {
                     leading.core.borrow_mut().job_dropped(id);
                     leading.bell.ring();
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -53,6 +53,19 @@
 }
 
 impl Slot {
+    pub fn new(state: SlotState, spec: Option<Rc<JobSpec>>, now: Micros) -> Slot {
+        Slot {
+            state,
+            spec,
+            offered: None,
+            direct: false,
+            doubtful: false,
+            stop: None,
+            since: now,
+            running_since: None,
+        }
+    }
+
     pub fn is_live(&self) -> bool {
         !matches!(self.state, SlotState::Ended(_))
     }
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -674,16 +674,7 @@
         let Some(spec) = self.jobs.get(&s.job).map(|j| j.spec.clone()) else { return };
         let Some(m) = self.machines.get_mut(&s.machine) else { return };
         let task = TaskId { job: s.job, index: s.index };
-        let slot = Slot {
-            state: SlotState::Sent,
-            spec: Some(spec),
-            offered: None,
-            direct: false,
-            doubtful: false,
-            stop: None,
-            since: now,
-            running_since: None,
-        };
+        let slot = Slot::new(SlotState::Sent, Some(spec), now);
         m.slots.insert((task.clone(), s.attempt), slot);
         m.orders_changed = true;
         m.idle_since = None;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -148,16 +148,7 @@
         if !known {
             // Reconnect: an attempt of an earlier holder, or one that we believed gone.
             let spec = self.jobs.get(&key.0.job).map(|j| j.spec.clone());
-            let slot = Slot {
-                state: SlotState::Live(TaskState::Fetching),
-                spec,
-                offered: None,
-                direct: false,
-                doubtful: false,
-                stop: None,
-                since: now,
-                running_since: None,
-            };
+            let slot = Slot::new(SlotState::Live(TaskState::Fetching), spec, now);
             if let Some(m) = self.machines.get_mut(id) {
                 m.slots.insert(key.clone(), slot);
             }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -299,6 +299,22 @@
     }
 }
 
+/// Reads one job's record because another node says that it has changed. If that fails, the
+/// watch still tells.
+pub async fn read_news(node: &Rc<Node>, leading: &Leading, id: JobId) {
+    let Ok(found) = node.state.get::<JobRecord>(&job_key(&id)).await else { return };
+    let mut core = leading.core.borrow_mut();
+    match found {
+        Some((Stored::Value(record), mark)) => core.job_seen(id, record, mark, runtime::now()),
+        Some((Stored::Unreadable(_), _)) => warn!(job = %id, "unreadable record"),
+        // Only a job that we know can have ended: a hint about another one changes nothing.
+        None if core.jobs.contains_key(&id) => core.job_dropped(&id),
+        None => {}
+    }
+    drop(core);
+    leading.bell.ring();
+}
+
 fn job_id_of(key: &str) -> Option<JobId> {
     JobId::parse(key.strip_prefix(JOBS)?)
 }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -4,6 +4,7 @@
 //! carries users' requests to a node that can answer them better.
 
 use crate::http::{Method, Request, Response};
+use crate::ids::JobId;
 use crate::node::Node;
 use crate::runtime::{self, Cancel, TcpListener, TcpStream};
 use crate::settings::Peer;
@@ -13,7 +14,7 @@
 use hyper::body::Incoming;
 use proto::mesh_client::MeshClient;
 use proto::mesh_server::{Mesh, MeshServer};
-use proto::{Greeting, StatusAnswer, StatusRequest, UserAnswer, UserRequest};
+use proto::{Greeting, News, StatusAnswer, StatusRequest, UserAnswer, UserRequest};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -163,6 +164,14 @@
         }
     }
 
+    /// Tells the peer that a job was accepted or cancelled. Only a hint: its watch tells it too.
+    pub async fn nudge(&self, node: &Node, job: &JobId) {
+        if self.fresh() {
+            let news = News { node: node.settings.node.clone(), job: job.to_string() };
+            let _ = self.call(GREET, |mut c| async move { c.nudge(news).await }).await;
+        }
+    }
+
     /// Has the peer answer a user's request.
     pub async fn forward(&self, node: &Node, request: &Request, limit: Micros) -> Option<Response> {
         if !self.fresh() {
@@ -229,6 +238,7 @@
 /// A request that reached us over the mesh, with where its answer goes.
 enum Call {
     Greet(Greeting, oneshot::Sender<Greeting>),
+    Nudge(News, oneshot::Sender<Greeting>),
     Forward(UserRequest, oneshot::Sender<UserAnswer>),
     Status(oneshot::Sender<String>),
 }
@@ -253,6 +263,9 @@
     async fn greet(&self, r: tonic::Request<Greeting>) -> Result<tonic::Response<Greeting>, Status> {
         self.pass(|reply| Call::Greet(r.into_inner(), reply)).await
     }
+    async fn nudge(&self, r: tonic::Request<News>) -> Result<tonic::Response<Greeting>, Status> {
+        self.pass(|reply| Call::Nudge(r.into_inner(), reply)).await
+    }
     async fn forward(&self, r: tonic::Request<UserRequest>) -> Result<tonic::Response<UserAnswer>, Status> {
         self.pass(|reply| Call::Forward(r.into_inner(), reply)).await
     }
@@ -326,6 +339,15 @@
             link.note(&greeting);
             let _ = reply.send(self::greeting(node));
         }
+        Call::Nudge(news, reply) => {
+            if node.links.by_name(&news.node).is_none() {
+                return;
+            }
+            let _ = reply.send(self::greeting(node));
+            if let (Some(id), Some(leading)) = (JobId::parse(&news.job), node.leading()) {
+                crate::lead::read_news(node, &leading, id).await;
+            }
+        }
         Call::Forward(message, reply) => {
             if node.links.by_name(&message.node).is_none() {
                 return;
