--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -5,6 +5,7 @@
 use crate::ids::MachineId;
 use crate::time::Micros;
 use crate::wire::cloud::{Listed, ListedState};
+use crate::wire::user::Priority;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::info;
 
@@ -205,6 +206,15 @@
     pub(super) fn return_idle(&mut self, now: Micros) {
         let idle_for = Micros::from_secs(40);
         let mut returns = Vec::new();
+        // While production work arrives, one ordinary machine stays ready for the next of it.
+        let lately = Micros::from_secs(120);
+        let recent = |j: &super::Job| j.spec.priority == Priority::Production && now < j.seen_at + lately;
+        let arriving = self.jobs.values().any(recent);
+        let mut idle_ordinary = self
+            .machines
+            .values()
+            .filter(|m| !m.spot && m.phase == Phase::Up && m.slots.is_empty() && !m.deleting && !m.faulty)
+            .count();
         let boots: BTreeMap<&str, Micros> =
             self.types.iter().map(|t| (t.name.as_str(), Micros::from_secs_f64(t.boot_s))).collect();
         for m in self.machines.values_mut() {
@@ -217,7 +227,13 @@
             let never_up = m.phase == Phase::Booting && now >= m.rented_at + boot.times(4) + Micros::from_secs(30);
             let idle = m.idle_since.is_some_and(|t| now >= t + idle_for) && !self.recovering;
             let faulty = m.faulty && !m.has_live();
-            let unneeded = idle && !m.has_live();
+            let mut unneeded = idle && !m.has_live();
+            if unneeded && !m.spot && !m.deleting {
+                if arriving && idle_ordinary <= 1 {
+                    unneeded = false;
+                }
+                idle_ordinary = idle_ordinary.saturating_sub(1);
+            }
             if !m.deleting && (never_up || unneeded || faulty) {
                 m.deleting = true;
                 info!(machine = %m.id, zone = %m.zone, spot = m.spot, never_up, faulty, "returning machine");
