Tidy: one lease cell, one verdict per task, a plain mesh client; no change in behaviour

The leader's lease time was copied between two cells, each task was checked three times per plan, the mesh client took its channel out only to put it back, and a few parameters were unused.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -275,7 +275,7 @@
         if self.changed || now >= self.next_plan {
             self.changed = false;
             self.next_plan = now + Micros::from_millis(500);
-            self.wind_up_gangs(now);
+            self.wind_up();
             let demand = self.plan(now);
             self.rent(demand, now);
             self.return_idle(now);
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -182,7 +182,7 @@
     }
 
     fn bins(&self, now: Micros) -> Vec<Bin> {
-        let quiet = self.cfg.report + self.cfg.report.times(1) + Micros::from_secs(2);
+        let quiet = self.cfg.report.times(2) + Micros::from_secs(2);
         let usable = |m: &&Machine| {
             m.phase != Phase::Lost && !m.deleting && !m.faulty && m.notice.is_none() && now >= m.cool_until
         };
@@ -260,14 +260,15 @@
     /// Arrays and services: each task for itself.
     fn place_each(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
         let (Some(mut needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
-        let open: Vec<u32> = job
-            .done
-            .missing(job.spec.tasks)
-            .take(self.cfg.window())
-            .filter(|&i| self.check(job, i) != Verdict::Reconnect)
-            .collect();
-        let unknown = open.iter().any(|&i| self.check(job, i) == Verdict::Unknown);
-        let startable: Vec<u32> = open.into_iter().filter(|&i| self.check(job, i) == Verdict::StartAnew).collect();
+        let mut unknown = false;
+        let mut startable = Vec::new();
+        for index in job.done.missing(job.spec.tasks).take(self.cfg.window()) {
+            match self.check(job, index) {
+                Verdict::StartAnew => startable.push(index),
+                Verdict::Unknown => unknown = true,
+                Verdict::Reconnect | Verdict::AcceptResult => {}
+            }
+        }
         let mut left = startable.len() as u32;
         // A zone rule must not be broken by tasks that nobody has reported yet.
         if unknown && (needs.spec.spread || needs.spec.one_zone) {
@@ -278,7 +279,7 @@
                 return "its team's limit";
             }
             needs.spare_ordinary = needs.spec.spot && self.spot_offered(&needs, now);
-            let bin = match self.choose_ready(&needs, plan, None) {
+            let bin = match self.choose_open(&needs, plan, None) {
                 Some(bin) if plan.bins[bin].ready => bin,
                 _ => match self.preempt(&needs, plan, now) {
                     Some(zone) => {
@@ -515,7 +516,7 @@
 
     /// The best bin for one task of a job; opens a new one if none has room.
     fn choose(&self, needs: &Needs, plan: &mut Plan, zone: Option<&str>, left: u32, now: Micros) -> Option<usize> {
-        if let Some(i) = self.choose_ready(needs, plan, zone) {
+        if let Some(i) = self.choose_open(needs, plan, zone) {
             return Some(i);
         }
         let offer = self.best_offer(needs, zone, left, now)?;
@@ -526,7 +527,7 @@
     }
 
     /// The best bin with room, ready ones first.
-    fn choose_ready(&self, needs: &Needs, plan: &Plan, zone: Option<&str>) -> Option<usize> {
+    fn choose_open(&self, needs: &Needs, plan: &Plan, zone: Option<&str>) -> Option<usize> {
         let mut best: Option<(f64, usize)> = None;
         for (i, bin) in plan.bins.iter().enumerate() {
             if !needs.task.fits_in(&bin.free)
@@ -683,7 +684,7 @@
 
     /// Gangs that lost a task after they started, or that are to move, must end altogether first;
     /// services leave machines that are about to be taken.
-    pub(super) fn wind_up_gangs(&mut self, _now: Micros) {
+    pub(super) fn wind_up(&mut self) {
         let mut stops: Vec<(MachineId, JobId, u32, Attempt, f64)> = Vec::new();
         for (id, job) in &mut self.jobs {
             let placed = job.places.len() as u32;
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -19,11 +19,7 @@
 impl Core {
     /// A report came in on `/hello`; the answer renews the worker's lease.
     pub fn report(&mut self, report: &Report, now: Micros) -> Answer {
-        let answer = |orders| Answer { token: self.token, orders };
-        // A late report of a machine that is gone.
-        if self.gone.contains(&report.machine) {
-            return answer(Vec::new());
-        }
+        // A late report, or one of a machine that is gone, is answered without orders.
         let fresh = self.merge(report, true, now);
         let lease_bound = self.cfg.lease_bound();
         let mut orders = Vec::new();
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -129,8 +129,7 @@
     info!(token = token.0, jobs = core.jobs.len(), machines = core.machines.len(), "records read");
     let leading = Rc::new(Leading {
         core: RefCell::new(core),
-        lease,
-        lease_until: Cell::new(lease_until.get()),
+        lease_until,
         heard_until: Cell::new(now + WATCH + node.settings.leader_ttl()),
         last_report: Cell::new(now),
         bell: Bell::default(),
@@ -144,12 +143,10 @@
     runtime::spawn_until(cancel.clone(), act(node.clone(), leading.clone()));
     // Until the lease is lost, or no worker reaches us.
     let starved = loop {
-        leading.lease_until.set(lease_until.get());
         if cancel.is_cancelled() {
             break false;
         }
         lost.wait_until(runtime::now() + Micros::from_millis(200)).await;
-        leading.lease_until.set(lease_until.get());
         if starving(node, &leading) {
             break true;
         }
@@ -337,7 +334,6 @@
         if result == Err(BatchError::Conflict(Vec::new())) {
             // Only our grant itself can have failed: somebody else leads.
             warn!(token = token.0, "a write found our grant gone");
-            leading.lease_until.set(Micros::ZERO);
             leading.cancel.cancel();
             return;
         }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -117,20 +117,13 @@
     }
 
     async fn client(&self) -> io::Result<MeshClient<Channel>> {
-        if self.channel.borrow().is_none() {
-            let cancel = Cancel::new();
-            let client = MeshClient::new(connect(self.peer.addr, &cancel).await?);
-            *self.channel.borrow_mut() = Some((client, cancel));
+        if let Some((client, _)) = &*self.channel.borrow() {
+            return Ok(client.clone());
         }
-        let found = self.channel.borrow_mut().take();
-        found.map(|(c, cancel)| self.keep(c, cancel)).ok_or_else(|| io::ErrorKind::NotConnected.into())
-    }
-
-    /// `MeshClient` is cheap to clone by its channel.
-    fn keep(&self, client: MeshClient<Channel>, cancel: Cancel) -> MeshClient<Channel> {
-        let copy = client.clone();
-        *self.channel.borrow_mut() = Some((client, cancel));
-        copy
+        let cancel = Cancel::new();
+        let client = MeshClient::new(connect(self.peer.addr, &cancel).await?);
+        *self.channel.borrow_mut() = Some((client.clone(), cancel));
+        Ok(client)
     }
 
     fn reset(&self) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -33,9 +33,8 @@
 /// What a leading node has.
 pub struct Leading {
     pub core: RefCell<Core>,
-    pub lease: u64,
     /// Our lease in the state service holds at least until then.
-    pub lease_until: Cell<Micros>,
+    pub lease_until: Rc<Cell<Micros>>,
     /// We have heard of all cancellations up to a moment not long before this.
     pub heard_until: Cell<Micros>,
     /// When a worker last reported to us.
--- a/tests/sim/rules.rs
+++ b/tests/sim/rules.rs
@@ -26,7 +26,7 @@
     }
 
     /// At the moment a task starts on a machine.
-    pub fn check_start(&mut self, id: &MachineId, task: &TaskId, _attempt: Attempt) {
+    pub fn check_start(&mut self, id: &MachineId, task: &TaskId) {
         let m = &self.machines[id];
         let (zone, kind, spot) = (m.zone.clone(), m.kind.clone(), m.spot);
         let spec = self.jobs[&task.job].spec.clone();
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -107,7 +107,7 @@
         m.lease_from = now;
         m.node = node;
         let id = id.clone();
-        self.worker_turn(&id, m_session(self, &id));
+        self.worker_turn(&id);
         self.worker_loop(&id);
     }
 
@@ -118,8 +118,7 @@
         let m = id.clone();
         self.after(wait, move |w| {
             if w.machines.contains_key(&m) {
-                let s = m_session(w, &m);
-                w.worker_turn(&m, s);
+                w.worker_turn(&m);
                 w.worker_loop(&m);
             }
         });
@@ -165,16 +164,15 @@
         self.at(at, move |w| {
             if let Some(m) = w.machines.get_mut(&id) {
                 m.wanted = false;
-                let s = m.session;
-                w.worker_turn(&id, s);
+                w.worker_turn(&id);
             }
         });
     }
 
-    fn worker_turn(&mut self, id: &MachineId, _session: u64) {
+    fn worker_turn(&mut self, id: &MachineId) {
         if let Some(t) = self.hung(id) {
             let m = id.clone();
-            return self.at(t, move |w| w.worker_turn(&m, 0));
+            return self.at(t, move |w| w.worker_turn(&m));
         }
         let now = self.now;
         let Some(m) = self.machines.get_mut(id) else { return };
@@ -232,12 +230,12 @@
             Some(Err(Some(to))) if to != m.node => {
                 m.node = to;
                 let id = id.clone();
-                self.after(Micros::from_millis(100), move |w| w.worker_turn(&id, 0));
+                self.after(Micros::from_millis(100), move |w| w.worker_turn(&id));
             }
             _ => {
                 m.node = (m.node + 1) % nodes;
                 let id = id.clone();
-                self.after(Micros::from_secs(1), move |w| w.worker_turn(&id, 0));
+                self.after(Micros::from_secs(1), move |w| w.worker_turn(&id));
             }
         }
     }
@@ -343,7 +341,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.starts += 1;
         let (spec, done, fails) = (job.spec.clone(), job.done[task.index as usize], job.fails);
-        self.check_start(id, &task, attempt);
+        self.check_start(id, &task);
         if let Some(m) = self.machines.get_mut(id)
             && !m.images.contains(&spec.image)
         {
