--- a/src/api.rs
+++ b/src/api.rs
@@ -178,11 +178,13 @@
     let done = record.map_or(0, |r| r.done.tidy(r.spec.tasks).count());
     let mut answer = JobAnswer { id: id.as_str(), state: JobState::Queued, done: Some(done), running: Some(0) };
     if let Some(leading) = node.leading()
-        && let Some(job) = leading.core.borrow().jobs.get(id)
+        && let core = leading.core.borrow()
+        && let Some(job) = core.jobs.get(id)
     {
+        let running = core.running(id);
         answer.done = Some(job.done.count());
-        answer.running = Some(job.running);
-        if job.running > 0 {
+        answer.running = Some(running);
+        if running > 0 {
             answer.state = JobState::Running;
         }
     }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -4,10 +4,46 @@
 use crate::ids::{Attempt, JobId, MachineId, TaskId, Token};
 use crate::time::Micros;
 use crate::wire::user::JobSpec;
+use crate::wire::user::{JobKind, Priority};
 use crate::wire::worker::{ExitReason, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
+/// A hash of an image's name. Two names with the same hash only cost a worse choice of place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ImageKey(u64);
+
+impl ImageKey {
+    pub fn of(name: &str) -> ImageKey {
+        let mut h = DefaultHasher::new();
+        name.hash(&mut h);
+        ImageKey(h.finish())
+    }
+}
+
+/// What is on a machine, summed up. Kept until the machine's slots change, so that a plan need
+/// not look at every slot of the fleet.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Load {
+    /// What live attempts take.
+    pub used: Amounts,
+    /// Live attempts.
+    pub live: u32,
+    /// Replicas of services among them, which stay long.
+    pub replicas: u32,
+    /// What attempts take that have been told to go at once.
+    pub freeing: Amounts,
+    /// What tasks of arrays below production take that nobody has stopped yet.
+    pub preemptible: Amounts,
+    /// A live attempt of a job that the ledger doesn't know.
+    pub strange: bool,
+    /// What live attempts take, by team (a place in the settings' list).
+    pub teams: Vec<(u16, Amounts)>,
+    /// Images that it has or fetches.
+    pub images: Vec<ImageKey>,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     /// Rented, its worker has not reported yet.
@@ -92,9 +128,10 @@
     pub lease_end: Micros,
     /// When the cloud takes it away.
     pub notice: Option<Micros>,
-    pub slots: BTreeMap<(TaskId, Attempt), Slot>,
+    slots: BTreeMap<(TaskId, Attempt), Slot>,
+    load: Option<Load>,
     /// Most recently used last.
-    pub images: Vec<(String, f64)>,
+    images: Vec<(ImageKey, f64)>,
     pub rented_at: Micros,
     pub idle_since: Option<Micros>,
     /// Jobs whose tasks failed here since one last succeeded here.
@@ -109,8 +146,6 @@
     /// A deletion is wanted or under way.
     pub deleting: bool,
     pub delete_sent: bool,
-    /// Orders changed since they were last sent.
-    pub orders_changed: bool,
     pub direct_open: bool,
     pub direct_retry_at: Micros,
 }
@@ -132,6 +167,7 @@
             lease_end: Micros::ZERO,
             notice: None,
             slots: BTreeMap::new(),
+            load: None,
             images: Vec::new(),
             rented_at: now,
             idle_since: None,
@@ -142,7 +178,6 @@
             registered: false,
             deleting: false,
             delete_sent: false,
-            orders_changed: false,
             direct_open: false,
             direct_retry_at: Micros::ZERO,
         }
@@ -153,8 +188,69 @@
         self.ours || self.token_seen >= token
     }
 
-    pub fn used(&self) -> Amounts {
-        self.slots.values().filter(|s| s.is_live()).fold(Amounts::default(), |a, s| a + s.amounts())
+    pub fn slots(&self) -> &BTreeMap<(TaskId, Attempt), Slot> {
+        &self.slots
+    }
+
+    /// The slots, to be changed: the sums over them are counted anew when next needed.
+    pub fn slots_mut(&mut self) -> &mut BTreeMap<(TaskId, Attempt), Slot> {
+        self.load = None;
+        &mut self.slots
+    }
+
+    /// Notes how far orders have come. Only for what does not show in the sums.
+    pub(super) fn slots_in_flight(&mut self) -> impl Iterator<Item = (&(TaskId, Attempt), &mut Slot)> {
+        self.slots.iter_mut()
+    }
+
+    /// The sums over its slots.
+    pub fn load(&mut self, teams: &[super::Team]) -> &Load {
+        if self.load.is_none() {
+            self.load = Some(self.count(teams));
+        }
+        self.load.get_or_insert_default()
+    }
+
+    /// The sums, counted anew; `None` from [`Machine::kept_load`] means that they will be.
+    pub fn count(&self, teams: &[super::Team]) -> Load {
+        let mut load = Load { images: self.images.iter().map(|(i, _)| *i).collect(), ..Load::default() };
+        for slot in self.slots.values() {
+            let Some(spec) = &slot.spec else {
+                load.strange |= slot.is_live();
+                continue;
+            };
+            let image = ImageKey::of(&spec.image);
+            if !load.images.contains(&image) {
+                load.images.push(image);
+            }
+            if !slot.is_live() {
+                continue;
+            }
+            let amounts = slot.amounts();
+            load.used = load.used + amounts;
+            load.live += 1;
+            load.replicas += u32::from(spec.kind == JobKind::Service);
+            if slot.stop.is_some_and(|s| s.grace_s == 0.0) {
+                load.freeing = load.freeing + amounts;
+            }
+            if slot.stop.is_none() && spec.kind == JobKind::Array && spec.priority > Priority::Production {
+                load.preemptible = load.preemptible + amounts;
+            }
+            // A team that the settings do not name has no limit to be charged against.
+            if let Some(team) = teams.iter().position(|t| t.name == spec.team) {
+                let team = team as u16;
+                match load.teams.iter_mut().find(|(t, _)| *t == team) {
+                    Some((_, sum)) => *sum = *sum + amounts,
+                    None => load.teams.push((team, amounts)),
+                }
+            }
+        }
+        load
+    }
+
+    /// The sums as kept, if no slot has changed since they were counted.
+    pub fn kept_load(&self) -> Option<&Load> {
+        self.load.as_ref()
     }
 
     pub fn has_live(&self) -> bool {
@@ -162,19 +258,16 @@
     }
 
     /// Notes that an image is in the machine's cache of `capacity` GB.
-    pub fn touch_image(&mut self, image: &str, gb: f64, capacity: f64) {
-        if self.images.last().is_some_and(|(i, _)| i == image) {
+    pub fn touch_image(&mut self, image: ImageKey, gb: f64, capacity: f64) {
+        if self.images.last().is_some_and(|(i, _)| *i == image) {
             return;
         }
-        self.images.retain(|(i, _)| i != image);
-        self.images.push((image.to_owned(), gb));
+        self.load = None;
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
         let mut total: f64 = self.images.iter().map(|(_, g)| g).sum();
         while total > capacity && self.images.len() > 1 {
             total -= self.images.remove(0).1;
         }
     }
-
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(i, _)| i == image)
-    }
 }
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -1,5 +1,7 @@
 //! A job in the leader's ledger, and its record in the state service.
 
+use super::amounts::Amounts;
+use super::fleet::ImageKey;
 use super::ranges::Ranges;
 use crate::ids::{Attempt, MachineId, Mark};
 use crate::time::Micros;
@@ -32,6 +34,9 @@
 /// A job that the leader looks after.
 pub struct Job {
     pub spec: Rc<JobSpec>,
+    /// What one task takes.
+    pub task: Amounts,
+    pub image: ImageKey,
     pub accepted_us: u64,
     /// Of the record as last seen.
     pub mark: Mark,
@@ -49,7 +54,6 @@
     pub gang_failing: bool,
     /// Attempts that hold a place: from their command until their proven exit.
     pub places: BTreeMap<u32, Vec<(MachineId, Attempt)>>,
-    pub running: u32,
     /// Machines on which a task of this job failed since one last succeeded.
     pub failed_on: BTreeSet<MachineId>,
     /// How often in a row it was held back for failing on several machines.
@@ -68,6 +72,8 @@
     pub fn new(record: JobRecord, mark: Mark, inherited: bool, now: Micros) -> Job {
         let done = record.done.tidy(record.spec.tasks);
         Job {
+            task: Amounts::of_task(&record.spec),
+            image: ImageKey::of(&record.spec.image),
             accepted_us: record.accepted_us,
             mark,
             inherited,
@@ -78,7 +84,6 @@
             gang_started: false,
             gang_failing: false,
             places: BTreeMap::new(),
-            running: 0,
             failed_on: BTreeSet::new(),
             backoffs: 0,
             hold_until: Micros::ZERO,
@@ -98,6 +103,19 @@
         }
     }
 
+    /// Tasks that are neither done nor hold a place.
+    pub fn unplaced(&self) -> u32 {
+        let tasks = self.spec.tasks;
+        // Of a task that is done, or that the job never had, a worker may still report an attempt.
+        let beyond = self.places.last_key_value().is_some_and(|(i, _)| *i >= tasks);
+        let placed = if self.done.parts() == 0 && !beyond {
+            self.places.len()
+        } else {
+            self.places.range(..tasks).filter(|(i, _)| !self.done.contains(**i)).count()
+        };
+        tasks.saturating_sub(self.done.count()).saturating_sub(placed as u32)
+    }
+
     pub fn is_done(&self) -> bool {
         self.spec.kind != JobKind::Service && self.done.count() == self.spec.tasks
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! - `reports`: workers' reports rebuild and update the ledger; orders answer them.
 //! - `plan`: placement inside the leased blocks, and the demand for machines.
 //! - `rent`: renting and returning machines.
+//! - `register`: which machines may hold tasks, in pages in the state service.
 //! - `records`: what must be written to the state service, in batches.
 
 mod amounts;
@@ -14,15 +15,17 @@
 mod plan;
 mod ranges;
 mod records;
+mod register;
 mod rent;
 mod reports;
 
 pub use amounts::{Amounts, Team, never_runs};
 pub use check::Verdict;
-pub use fleet::{Machine, Phase, Slot, SlotState};
+pub use fleet::{Load, Machine, Phase, Slot, SlotState};
 pub use job::{EndRecord, Job, JobRecord};
 pub use ranges::Ranges;
-pub use records::{Batch, BatchError, MachineRecord, Write};
+pub use records::{Batch, BatchError, Write};
+pub use register::RegisterPage;
 pub use rent::RentOutcome;
 pub use reports::Answer;
 
@@ -118,8 +121,17 @@
     },
 }
 
+/// News of a job's record can lag behind that of its end only by as long as a watch or a read
+/// takes; at the highest rate of changes this many ends take minutes.
 const MOST_ENDED: usize = 4096;
 
+/// Changes that come this close together go into one plan.
+const LEAST_PLAN_GAP: Micros = Micros::from_millis(20);
+/// However much a plan costs, work must not wait longer than this for one.
+const MOST_PLAN_GAP: Micros = Micros::from_millis(600);
+/// How often machines are looked at for what only time brings.
+const SWEEP: Micros = Micros::from_millis(100);
+
 pub struct Core {
     pub cfg: Config,
     /// Says that we are entitled to command; the revision at which the blocks were granted to us.
@@ -133,7 +145,7 @@
     pub machines: BTreeMap<MachineId, Machine>,
     pub types: Vec<MachineType>,
     /// Machines that are gone for certain: the cloud confirmed their deletion.
-    gone: BTreeSet<MachineId>,
+    gone: BTreeMap<MachineId, Micros>,
     /// What the cloud listed last.
     listed: Option<BTreeSet<MachineId>>,
     /// Jobs whose record has left `job/`, oldest first. News of an earlier revision can arrive
@@ -145,8 +157,22 @@
     rents: rent::Rents,
     writes: records::Writes,
     actions: VecDeque<Action>,
+    /// Something changed that a plan must see.
     changed: bool,
+    /// No plan before this: changes are gathered.
     next_plan: Micros,
+    /// A plan at this time even if nothing changed.
+    plan_by: Micros,
+    /// The least time between plans; follows from what a plan costs.
+    plan_gap: Micros,
+    /// Plans made so far.
+    plans: u64,
+    /// When silent machines and lapsed leases are looked for again.
+    next_sweep: Micros,
+    /// Machines whose orders have changed since they were last sent.
+    orders_due: BTreeSet<MachineId>,
+    register: register::Register,
+    move_cursor: usize,
     /// No replica is moved before this.
     next_move: Micros,
 }
@@ -157,7 +183,7 @@
         cfg: Config,
         token: Token,
         jobs: Vec<(JobId, JobRecord, Mark)>,
-        register: Vec<(MachineId, MachineRecord)>,
+        register: Vec<(String, Mark, Option<RegisterPage>)>,
         now: Micros,
     ) -> Core {
         let mut core = Core {
@@ -170,28 +196,39 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             types: Vec::new(),
-            gone: BTreeSet::new(),
+            gone: BTreeMap::new(),
             listed: None,
             ended: VecDeque::new(),
             ended_set: BTreeSet::new(),
-            recovering: !register.is_empty(),
+            recovering: false,
             counter: 0,
             rents: rent::Rents::default(),
             actions: VecDeque::new(),
             changed: true,
             next_plan: Micros::ZERO,
+            plan_by: Micros::ZERO,
+            plan_gap: LEAST_PLAN_GAP,
+            plans: 0,
+            next_sweep: Micros::ZERO,
+            orders_due: BTreeSet::new(),
+            register: register::Register::default(),
+            move_cursor: 0,
             next_move: Micros::ZERO,
         };
         for (id, record, mark) in jobs {
             core.job_seen(id, record, mark, now);
         }
-        for (id, r) in register {
-            let mut m = Machine::new(id.clone(), r.machine_type, r.zone, r.spot, now);
-            m.registered = true;
-            // An earlier holder may have answered it until just before our grant.
-            m.lease_end = now + core.cfg.lease_bound();
-            core.machines.insert(id, m);
+        for (key, mark, page) in register {
+            for id in core.register.read(key, mark, page.as_ref()) {
+                let Some(p) = &page else { continue };
+                let mut m = Machine::new(id.clone(), p.machine_type.clone(), p.zone.clone(), p.spot, now);
+                m.registered = true;
+                // An earlier holder may have answered it until just before our grant.
+                m.lease_end = now + core.cfg.lease_bound();
+                core.machines.insert(id, m);
+            }
         }
+        core.recovering = !core.register.is_empty();
         core
     }
 
@@ -223,8 +260,10 @@
                 job.recorded = done;
                 job.recorded_term = record.term;
                 job.mark = mark;
+                self.writes.note(&id);
+                return;
             }
-            Some(_) => {}
+            Some(_) => return,
         }
         self.changed = true;
     }
@@ -257,6 +296,11 @@
         self.actions.pop_front()
     }
 
+    /// Something waits to be done or sent.
+    pub fn has_actions(&self) -> bool {
+        !self.actions.is_empty() || !self.orders_due.is_empty()
+    }
+
     /// Does what is due; to be called after events and at least every half second.
     pub fn tick(&mut self, now: Micros) {
         self.settle(now);
@@ -269,12 +313,16 @@
             self.resumed = now;
         }
         self.last_settled = now;
-        self.lapse_leases(now);
-        self.give_up_silent(now);
-        self.note_recovery(now);
-        if self.changed || now >= self.next_plan {
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            self.lapse_leases(now);
+            self.give_up_silent(now);
+            self.note_recovery(now);
+        }
+        if self.plan_due(now) {
             self.changed = false;
-            self.next_plan = now + Micros::from_millis(500);
+            self.next_plan = now + self.plan_gap;
+            self.plan_by = now + Micros::from_millis(500).max(self.plan_gap);
             self.wind_up();
             let demand = self.plan(now);
             self.rent(demand, now);
@@ -282,6 +330,54 @@
         }
     }
 
+    fn plan_due(&self, now: Micros) -> bool {
+        (self.changed && now >= self.next_plan) || now >= self.plan_by
+    }
+
+    /// When a tick has something to do again, if no event comes before.
+    pub fn next_due(&self, now: Micros) -> Micros {
+        let tick = now + Micros::from_millis(250);
+        if self.changed { tick.min(self.next_plan) } else { tick }
+    }
+
+    /// Plans made so far.
+    pub fn plans(&self) -> u64 {
+        self.plans
+    }
+
+    /// What the latest plan cost, as a span of which `share` may go to plans.
+    pub fn plan_cost(&mut self, cost: Micros, share: f64) {
+        let gap = Micros::from_secs_f64(cost.as_secs_f64() / share.max(0.001));
+        self.plan_gap = gap.clamp(LEAST_PLAN_GAP, MOST_PLAN_GAP);
+    }
+
+    /// Faults in the sums that are kept up to date with the changes, against sums counted anew;
+    /// for scenarios.
+    pub fn audit(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for m in self.machines.values() {
+            if let Some(kept) = m.kept_load()
+                && *kept != m.count(&self.cfg.teams)
+            {
+                faults.push(format!("sums of {} are stale: {kept:?}", m.id));
+            }
+            if m.registered && !self.register.names(&m.id) {
+                faults.push(format!("{} counts as registered but is on no page", m.id));
+            }
+        }
+        for (id, job) in &self.jobs {
+            if job.needs_write() && !self.writes.notes(id) {
+                faults.push(format!("{id} has something to write that nobody noted"));
+            }
+            let tasks = job.spec.tasks;
+            let open = job.done.missing(tasks).filter(|i| !job.places.contains_key(i)).count();
+            if open as u32 != job.unplaced() {
+                faults.push(format!("{id} has {open} tasks without a place, not {}", job.unplaced()));
+            }
+        }
+        faults
+    }
+
     /// True while tasks that nobody has reported may still be on a machine.
     pub fn recovering(&self) -> bool {
         self.recovering
@@ -295,10 +391,12 @@
         if !self.recovering {
             return;
         }
-        let open = self.machines.values().filter(|m| m.registered && self.unaccounted(m)).count();
+        let open = self.machines.values().filter(|m| m.registered && self.unaccounted(m)).count()
+            + usize::from(self.register.blind());
         if open == 0 || now >= self.started + self.cfg.lease_bound() {
             self.recovering = false;
             self.changed = true;
+            self.register.recovered();
             info!(
                 token = self.token.0,
                 after_ms = (now - self.started).as_millis(),
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -3,43 +3,57 @@
 //! Every plan is made anew: jobs in order of importance take room on machines that are up, then
 //! (in the plan only) on machines that boot, then on machines yet to be rented. So room that an
 //! important job waits for is not given to a lesser one.
+//!
+//! What a plan costs follows the work that waits, not the fleet: sums per machine are kept until
+//! its slots change, jobs that have all their places are passed over, and the bins are searched
+//! once per job, not once per task.
 
+use super::Core;
 use super::amounts::{Amounts, Team};
 use super::check::Verdict;
-use super::fleet::{Machine, Phase, Slot, SlotState};
+use super::fleet::{ImageKey, Phase, Slot, SlotState};
 use super::rent::{Demand, Offer};
-use super::{Core, Job};
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
 use crate::time::Micros;
 use crate::wire::user::{JobKind, JobSpec, Priority};
 use crate::wire::worker::TaskState;
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tracing::info;
 
-/// What making room costs, in which bin, and who must go.
-type Room = (f64, usize, Vec<TaskKey>);
-
 /// One attempt of one task.
 type TaskKey = (TaskId, Attempt);
 
+/// What making room costs, in which bin, and who must go.
+type Room = (f64, usize, Vec<TaskKey>);
+
 /// A machine, real or yet to be rented, in a plan.
 struct Bin {
     machine: Option<MachineId>,
     /// Tasks can be started on it now.
     ready: bool,
-    machine_type: String,
-    zone: String,
+    /// Its type: a place in the catalog.
+    kind: usize,
+    /// Its zone: a place in the settings' list, or just past it.
+    zone: usize,
     spot: bool,
     free: Amounts,
-    /// Images it has or fetches.
-    images: Vec<String>,
     empty: bool,
     /// Replicas on it, which stay long.
     replicas: u32,
     /// What its tasks will free that have been told to go at once.
     freeing: Amounts,
-    failed_jobs: BTreeSet<JobId>,
+    /// What could be freed for production work.
+    preemptible: Amounts,
+    /// Where its images stand in the plan's list.
+    images: (u32, u32),
+    /// The image of the task that this plan put on it last.
+    latest: Option<ImageKey>,
+    /// Some job's tasks failed on it.
+    failed: bool,
+    /// The plan counts on it.
+    wanted: bool,
 }
 
 /// Work for which room was found.
@@ -50,46 +64,124 @@
     attempt: Attempt,
 }
 
+/// A kind of machine that the cloud sells, as seen by one plan.
+struct OfferView {
+    offer: Offer,
+    kind: usize,
+    zone: usize,
+    spot: bool,
+    /// Price with what speaks against it: a zone that holds much of the fleet, a long boot.
+    cost: f64,
+}
+
 /// A plan in the making.
 struct Plan {
     bins: Vec<Bin>,
-    used: BTreeMap<String, Amounts>,
+    /// Bins that had room for the smallest waiting task, and all new ones.
+    open: Vec<usize>,
+    images: Vec<ImageKey>,
+    /// What a machine of each type offers.
+    kinds: Vec<Amounts>,
+    offers: Vec<OfferView>,
+    demand: Vec<u32>,
+    /// Use by team.
+    used: Vec<Amounts>,
     starts: Vec<Start>,
-    demand: BTreeMap<Offer, u32>,
-    /// Machines that the plan counts on.
-    wanted: BTreeSet<MachineId>,
     /// Tasks to be stopped for more important ones.
     victims: Vec<(MachineId, TaskKey)>,
+    /// Gangs that have reserved machines.
+    reservations: usize,
+    /// Tasks looked at by the search for room by preemption; see [`MOST_PREEMPT_SEARCHES`].
+    preempt_searches: usize,
 }
 
+/// Each reservation sorts all machines, so only the gangs that are next in line make one. More
+/// would hold back machines for gangs whose turn is far off anyway.
+const MOST_RESERVATIONS: usize = 16;
+
+/// Each search looks at every machine with lesser work; the next plan goes on with the rest.
+const MOST_PREEMPT_SEARCHES: usize = 32;
+
 /// What the placement of one job must look at.
+#[derive(Clone)]
 struct Needs {
     id: JobId,
     spec: Rc<JobSpec>,
     task: Amounts,
+    image: ImageKey,
+    team: Option<usize>,
+    /// The only zone allowed.
+    zone: Option<usize>,
+    /// Types allowed, by their place in the catalog.
+    kinds: Vec<bool>,
     /// It failed on several machines, so no machine is avoided for that.
     suspect: bool,
     /// Spot machines are to be had: it leaves empty ordinary ones to work that needs them.
     spare_ordinary: bool,
     /// Places of the job's tasks by zone.
-    zones: BTreeMap<String, u32>,
+    zones: Vec<u32>,
+}
+
+impl Needs {
+    /// The job's zone rules allow one more task in this zone, given where its others are.
+    /// (Guards `wrong_place`.)
+    fn zone_allows(&self, zone: usize) -> bool {
+        if self.spec.one_zone && self.zones.iter().enumerate().any(|(z, &n)| n > 0 && z != zone) {
+            return false;
+        }
+        !self.spec.spread || self.zones[zone] < self.spec.tasks.div_ceil(2)
+    }
+
+    fn cares_for_zones(&self) -> bool {
+        self.spec.one_zone || self.spec.spread || self.spec.kind == JobKind::Service
+    }
+}
+
+/// Bins that one job may use, best first, by zone if the job cares for zones.
+struct Candidates {
+    lists: Vec<Vec<usize>>,
+    next: Vec<usize>,
+}
+
+impl Candidates {
+    /// The best bin that still has room, in a zone that the job's rules allow.
+    fn best(&mut self, needs: &Needs, plan: &Plan, score: impl Fn(&Bin) -> f64) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (list, next) in self.lists.iter().zip(&mut self.next) {
+            while list.get(*next).is_some_and(|&b| !needs.task.fits_in(&plan.bins[b].free)) {
+                *next += 1;
+            }
+            let Some(&b) = list.get(*next) else { continue };
+            let bin = &plan.bins[b];
+            if needs.cares_for_zones() && !needs.zone_allows(bin.zone) {
+                continue;
+            }
+            let value = score(bin);
+            if best.is_none_or(|(v, _)| value > v) {
+                best = Some((value, b));
+            }
+        }
+        best.map(|(_, b)| b)
+    }
+
+    /// A bin that was opened for the job comes first in its zone.
+    fn put_first(&mut self, bin: usize, zone: usize) {
+        let list = zone.min(self.lists.len() - 1);
+        let next = self.next[list];
+        self.lists[list].insert(next, bin);
+    }
 }
 
 impl Core {
     /// Makes a plan, starts what it can, and says which machines to rent.
     pub(super) fn plan(&mut self, now: Micros) -> Demand {
-        let mut plan = Plan {
-            bins: self.bins(now),
-            used: self.team_use(),
-            starts: Vec::new(),
-            demand: BTreeMap::new(),
-            wanted: BTreeSet::new(),
-            victims: Vec::new(),
-        };
+        self.plans += 1;
+        let order = self.order();
+        let mut plan = self.new_plan(&order, now);
         // A task on a machine whose job we don't know may belong to any team: until it is gone
         // (it has been told to stop) nothing that counts against a limit is started.
-        let strange = self.machines.values().any(|m| m.slots.values().any(|s| s.is_live() && s.spec.is_none()));
-        for id in self.order() {
+        let strange = self.machines.values_mut().any(|m| m.load(&self.cfg.teams).strange);
+        for id in order {
             let Some(job) = self.jobs.get(&id) else { continue };
             let why = if now < job.hold_until {
                 "its backoff"
@@ -99,7 +191,7 @@
                 // they use their team's quota. (Guards `quota`; scenario cancelled_before_takeover.)
                 "recovery"
             } else if job.is_gang() {
-                self.place_gang(&id, &mut plan, now)
+                self.place_gang(&id, &mut plan)
             } else {
                 self.place_each(&id, &mut plan, now)
             };
@@ -115,7 +207,40 @@
             self.stop_slot(&machine, &task.job, task.index, attempt, 0.0);
         }
         self.consolidate(&plan, now);
-        Demand { offers: plan.demand, wanted: plan.wanted }
+        let offers = plan.offers.into_iter().zip(plan.demand).filter(|(_, n)| *n > 0);
+        Demand {
+            offers: offers.map(|(o, n)| (o.offer, n)).collect(),
+            wanted: plan.bins.into_iter().filter(|b| b.wanted).filter_map(|b| b.machine).collect(),
+        }
+    }
+
+    fn new_plan(&mut self, order: &[JobId], now: Micros) -> Plan {
+        let mut plan = Plan {
+            bins: Vec::with_capacity(self.machines.len() + 64),
+            open: Vec::new(),
+            images: Vec::new(),
+            kinds: self.types.iter().map(Amounts::of_type).collect(),
+            offers: self.offers(now),
+            demand: Vec::new(),
+            used: vec![Amounts::default(); self.cfg.teams.len()],
+            starts: Vec::new(),
+            victims: Vec::new(),
+            reservations: 0,
+            preempt_searches: 0,
+        };
+        plan.demand = vec![0; plan.offers.len()];
+        self.fill_bins(&mut plan, now);
+        self.charge_unknown(&mut plan);
+        // Bins without room even for the smallest waiting task need no second look.
+        let least = order.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.task).reduce(|a, b| Amounts {
+            cpus: a.cpus.min(b.cpus),
+            gpus: a.gpus.min(b.gpus),
+            memory_gb: a.memory_gb.min(b.memory_gb),
+        });
+        if let Some(least) = least {
+            plan.open = (0..plan.bins.len()).filter(|&i| least.fits_in(&plan.bins[i].free)).collect();
+        }
+        plan
     }
 
     fn limited(&self, team: &str) -> bool {
@@ -126,135 +251,173 @@
         self.cfg.teams.iter().find(|t| t.name == name)
     }
 
-    /// What each team's tasks use, from command to proven exit. While recovering, also what
-    /// tasks may use that nobody has reported yet: all that earlier holders may have started.
-    /// (Guards `quota`.)
-    fn team_use(&self) -> BTreeMap<String, Amounts> {
-        let mut used: BTreeMap<String, Amounts> = BTreeMap::new();
-        let mut add = |spec: &JobSpec, n: f64| {
-            let sum = used.entry(spec.team.clone()).or_default();
-            *sum = *sum + Amounts::of_task(spec).times(n);
-        };
-        for slot in self.machines.values().flat_map(|m| m.slots.values()) {
-            if let (true, Some(spec)) = (slot.is_live(), &slot.spec) {
-                add(spec, 1.0);
-            }
+    fn team_index(&self, name: &str) -> Option<usize> {
+        self.cfg.teams.iter().position(|t| t.name == name)
+    }
+
+    /// A zone's place in the settings' list; unknown ones share the place after the last.
+    fn zone_index(&self, name: &str) -> usize {
+        self.cfg.zones.iter().position(|z| z == name).unwrap_or(self.cfg.zones.len())
+    }
+
+    /// While recovering, tasks that nobody has reported yet may use their team's quota: all that
+    /// earlier holders may have started. (Guards `quota`.)
+    fn charge_unknown(&self, plan: &mut Plan) {
+        if !self.recovering() {
+            return;
         }
-        if self.recovering() {
-            for job in self.jobs.values().filter(|j| j.inherited) {
-                let unknown = job
-                    .done
-                    .missing(job.spec.tasks)
-                    .take(self.cfg.window())
-                    .filter(|&i| self.check(job, i) == Verdict::Unknown)
-                    .count();
-                add(&job.spec, unknown as f64);
+        for job in self.jobs.values().filter(|j| j.inherited) {
+            let missing = job.done.missing(job.spec.tasks).take(self.cfg.window());
+            let unknown = missing.filter(|&i| self.check(job, i) == Verdict::Unknown).count();
+            if let Some(team) = self.team_index(&job.spec.team) {
+                plan.used[team] = plan.used[team] + job.task.times(unknown as f64);
             }
         }
-        used
     }
 
-    /// Jobs in the order in which they get room.
-    fn order(&self) -> Vec<JobId> {
-        let mut jobs: Vec<(&JobId, &Job)> = self.jobs.iter().collect();
-        jobs.sort_by_key(|(id, j)| (j.accepted_us, *id));
-        let mut claimed: BTreeMap<&str, Amounts> = BTreeMap::new();
-        let mut keyed: Vec<_> = jobs
-            .into_iter()
-            .map(|(id, job)| {
-                let spec = &job.spec;
-                let left = f64::from(spec.tasks - job.done.count().min(spec.tasks));
-                let sum = claimed.entry(spec.team.as_str()).or_default();
-                *sum = *sum + Amounts::of_task(spec).times(left);
-                let within = self.team(&spec.team).is_some_and(|t| t.guarantees(sum));
-                let class = match (spec.priority, within) {
-                    (Priority::Production, _) => 0,
-                    (_, true) => 1,
-                    (Priority::High, _) => 2,
-                    (Priority::Normal, _) => 3,
-                    (Priority::Low, _) => 4,
-                };
-                ((class, spec.priority, job.accepted_us), id.clone())
-            })
-            .collect();
-        keyed.sort();
+    /// Jobs with work that has no place, in the order in which they get room.
+    fn order(&mut self) -> Vec<JobId> {
+        let mut jobs: Vec<(u64, &JobId)> = self.jobs.iter().map(|(id, j)| (j.accepted_us, id)).collect();
+        jobs.sort_unstable();
+        let mut claimed = vec![Amounts::default(); self.cfg.teams.len()];
+        let mut keyed = Vec::new();
+        let mut settled = Vec::new();
+        for (accepted_us, id) in jobs {
+            let job = &self.jobs[id];
+            let spec = &job.spec;
+            let left = f64::from(spec.tasks - job.done.count().min(spec.tasks));
+            let within = self.team_index(&spec.team).is_some_and(|t| {
+                claimed[t] = claimed[t] + job.task.times(left);
+                self.cfg.teams[t].guarantees(&claimed[t])
+            });
+            if job.unplaced() == 0 {
+                if !job.waits_for.is_empty() {
+                    settled.push(id.clone());
+                }
+                continue;
+            }
+            let class = match (spec.priority, within) {
+                (Priority::Production, _) => 0,
+                (_, true) => 1,
+                (Priority::High, _) => 2,
+                (Priority::Normal, _) => 3,
+                (Priority::Low, _) => 4,
+            };
+            keyed.push(((class, spec.priority, accepted_us), id.clone()));
+        }
+        keyed.sort_unstable();
+        for id in settled {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.waits_for = "";
+            }
+        }
         keyed.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn bins(&self, now: Micros) -> Vec<Bin> {
+    fn fill_bins(&mut self, plan: &mut Plan, now: Micros) {
         let quiet = self.cfg.report.times(2) + Micros::from_secs(2);
-        let usable = |m: &&Machine| {
-            m.phase != Phase::Lost && !m.deleting && !m.faulty && m.notice.is_none() && now >= m.cool_until
-        };
-        let mut bins: Vec<Bin> = self
-            .machines
-            .values()
-            .filter(usable)
-            .filter_map(|m| {
-                let total = Amounts::of_type(self.machine_type(&m.machine_type)?);
-                let fresh = m.phase == Phase::Up && now < m.last_seen + quiet;
-                if m.phase == Phase::Up && !fresh {
-                    return None;
-                }
-                let mut images: Vec<String> = m.images.iter().map(|(i, _)| i.clone()).collect();
-                images.extend(m.slots.values().filter_map(|s| s.spec.as_ref().map(|s| s.image.clone())));
-                Some(Bin {
-                    machine: Some(m.id.clone()),
-                    ready: fresh && m.registered && m.settled(self.token),
-                    machine_type: m.machine_type.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    free: total - m.used(),
-                    images,
-                    empty: !m.has_live(),
-                    replicas: replicas(m),
-                    freeing: freeing(m),
-                    failed_jobs: m.failed_jobs.clone(),
-                })
-            })
-            .collect();
+        let Core { machines, cfg, types, token, .. } = self;
+        for m in machines.values_mut() {
+            let load = m.load(&cfg.teams);
+            for (team, amounts) in &load.teams {
+                let used = &mut plan.used[usize::from(*team)];
+                *used = *used + *amounts;
+            }
+            let fresh = m.phase == Phase::Up && now < m.last_seen + quiet;
+            if m.phase == Phase::Lost
+                || (m.phase == Phase::Up && !fresh)
+                || m.deleting
+                || m.faulty
+                || m.notice.is_some()
+                || now < m.cool_until
+            {
+                continue;
+            }
+            let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
+            let Some(load) = m.kept_load() else { continue };
+            let first = plan.images.len() as u32;
+            plan.images.extend_from_slice(&load.images);
+            plan.bins.push(Bin {
+                machine: Some(m.id.clone()),
+                ready: fresh && m.registered && m.settled(*token),
+                kind,
+                zone: cfg.zones.iter().position(|z| *z == m.zone).unwrap_or(cfg.zones.len()),
+                spot: m.spot,
+                free: plan.kinds[kind] - load.used,
+                empty: load.live == 0,
+                replicas: load.replicas,
+                freeing: load.freeing,
+                preemptible: load.preemptible,
+                images: (first, plan.images.len() as u32),
+                latest: None,
+                failed: !m.failed_jobs.is_empty(),
+                wanted: false,
+            });
+        }
         // Machines that are being rented right now.
         for (offer, n) in self.rents.open() {
-            for _ in 0..n {
-                bins.extend(self.new_bin(&offer));
+            if let Some(kind) = self.types.iter().position(|t| t.name == offer.machine_type) {
+                let zone = self.zone_index(&offer.zone);
+                for _ in 0..n {
+                    plan.bins.push(Bin::rented(kind, zone, offer.spot, plan.kinds[kind]));
+                }
             }
         }
-        bins
     }
 
-    fn new_bin(&self, offer: &Offer) -> Option<Bin> {
-        let total = Amounts::of_type(self.machine_type(&offer.machine_type)?);
-        Some(Bin {
-            machine: None,
-            ready: false,
-            machine_type: offer.machine_type.clone(),
-            zone: offer.zone.clone(),
-            spot: offer.spot,
-            free: total,
-            images: Vec::new(),
-            empty: true,
-            replicas: 0,
-            freeing: Amounts::default(),
-            failed_jobs: BTreeSet::new(),
-        })
+    /// What can be rented, but for what the cloud refused of late.
+    fn offers(&self, now: Micros) -> Vec<OfferView> {
+        let mut here = vec![0u32; self.cfg.zones.len() + 1];
+        for m in self.machines.values() {
+            here[self.zone_index(&m.zone)] += 1;
+        }
+        let all = f64::from(here.iter().sum::<u32>().max(1));
+        let mut offers = Vec::new();
+        for (kind, t) in self.types.iter().enumerate() {
+            let zones = if t.zones.is_empty() { &self.cfg.zones } else { &t.zones };
+            for z in zones {
+                let zone = self.zone_index(z);
+                // Zones that hold less of the fleet are preferred, slightly.
+                let burden = 1.0 + 0.4 * f64::from(here[zone]) / all + 0.001 * t.boot_s;
+                for spot in [true, false] {
+                    let price = if spot { t.spot_price } else { t.price };
+                    let offer = Offer { machine_type: t.name.clone(), zone: z.clone(), spot };
+                    if (spot && price <= 0.0) || self.rents.refused(&offer, now) {
+                        continue;
+                    }
+                    offers.push(OfferView { offer, kind, zone, spot, cost: price * burden });
+                }
+            }
+        }
+        offers
     }
 
     fn needs(&self, id: &JobId) -> Option<Needs> {
         let job = self.jobs.get(id)?;
-        let mut zones = BTreeMap::new();
-        for (machine, _) in job.places.values().flatten() {
-            if let Some(m) = self.machines.get(machine) {
-                *zones.entry(m.zone.clone()).or_default() += 1;
-            }
-        }
-        Some(Needs {
+        let mut needs = Needs {
             id: id.clone(),
             spec: job.spec.clone(),
-            task: Amounts::of_task(&job.spec),
+            task: job.task,
+            image: job.image,
+            team: self.team_index(&job.spec.team),
+            zone: job.spec.zone.as_ref().map(|z| self.zone_index(z)),
+            kinds: self
+                .types
+                .iter()
+                .map(|t| job.spec.types.as_ref().is_none_or(|names| names.contains(&t.name)))
+                .collect(),
             suspect: job.suspect(),
             spare_ordinary: false,
-            zones,
-        })
+            zones: vec![0; self.cfg.zones.len() + 1],
+        };
+        if needs.cares_for_zones() {
+            for (machine, _) in job.places.values().flatten() {
+                if let Some(m) = self.machines.get(machine) {
+                    needs.zones[self.zone_index(&m.zone)] += 1;
+                }
+            }
+        }
+        Some(needs)
     }
 
     /// Arrays and services: each task for itself.
@@ -274,27 +437,37 @@
         if unknown && (needs.spec.spread || needs.spec.one_zone) {
             return "recovery";
         }
+        needs.spare_ordinary =
+            needs.spec.spot && plan.best_offer(&needs, None, 1).is_some_and(|o| plan.offers[o].spot);
+        let mut candidates = self.candidates(&needs, plan, None);
+        let production = needs.spec.priority == Priority::Production;
         for index in startable {
-            if !plan.charge(&needs, 1.0, self.team(&needs.spec.team)) {
+            if !plan.charge(&needs, 1, &self.cfg.teams) {
                 return "its team's limit";
             }
-            needs.spare_ordinary = needs.spec.spot && self.spot_offered(&needs, now);
-            let bin = match self.choose_open(&needs, plan, None) {
+            let found = candidates.best(&needs, plan, |b| plan.score(&needs, b));
+            let bin = match found {
                 Some(bin) if plan.bins[bin].ready => bin,
-                _ => match self.preempt(&needs, plan, now) {
-                    Some(zone) => {
-                        *needs.zones.entry(zone).or_default() += 1;
+                _ => {
+                    if production && let Some(zone) = self.preempt(&needs, plan, now) {
+                        needs.zones[zone] += 1;
                         left -= 1;
                         continue;
                     }
-                    None => match self.choose(&needs, plan, None, left, now) {
+                    match found {
                         Some(bin) => bin,
-                        None => {
-                            plan.refund(&needs, 1.0);
-                            return "machines";
-                        }
-                    },
-                },
+                        None => match plan.open_new(&needs, None, left) {
+                            Some(bin) => {
+                                candidates.put_first(bin, plan.bins[bin].zone);
+                                bin
+                            }
+                            None => {
+                                plan.refund(&needs, 1);
+                                return "machines";
+                            }
+                        },
+                    }
+                }
             };
             left -= 1;
             plan.take(bin, &mut needs);
@@ -309,7 +482,7 @@
     }
 
     /// Gangs: all tasks at once, or the replacements that a waiting gang lacks.
-    fn place_gang(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
+    fn place_gang(&mut self, id: &JobId, plan: &mut Plan) -> &'static str {
         let (Some(needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
         let n = job.spec.tasks;
         let missing: Vec<u32> = (0..n).filter(|i| !job.places.contains_key(i)).collect();
@@ -326,11 +499,11 @@
         let anew = missing.len() == n as usize;
         let term = job.term;
         let count = missing.len() as u32;
-        if !plan.charge(&needs, f64::from(count), self.team(&needs.spec.team)) {
+        if !plan.charge(&needs, count, &self.cfg.teams) {
             return "its team's limit";
         }
-        let Some(bins) = self.choose_all(&needs, plan, count, now) else {
-            plan.refund(&needs, f64::from(count));
+        let Some(bins) = self.choose_all(&needs, plan, count) else {
+            plan.refund(&needs, count);
             self.reserve(&needs, plan, count);
             return "machines";
         };
@@ -342,6 +515,7 @@
             // Written before any of its tasks is told to start.
             job.term = attempt;
             job.gang_started = false;
+            self.writes.note(id);
         }
         for (index, bin) in missing.into_iter().zip(bins) {
             if let Some(machine) = plan.bins[bin].machine.clone() {
@@ -353,53 +527,51 @@
 
     /// Finds room for `count` tasks at once, in one zone if the job asks for it. Room on machines
     /// that are not ready yet is taken in the plan, so that it is kept for this gang.
-    fn choose_all(&self, needs: &Needs, plan: &mut Plan, count: u32, now: Micros) -> Option<Vec<usize>> {
-        let zones: Vec<Option<String>> = if needs.spec.one_zone {
-            let mut zones: Vec<(u32, u32, String)> = self
-                .cfg
-                .zones
-                .iter()
-                .map(|z| {
-                    let room = |ready: bool| -> u32 {
-                        let fits = |b: &&Bin| b.zone == *z && (b.ready || !ready) && self.allowed(needs, b);
-                        plan.bins.iter().filter(fits).map(|b| b.free.holds(&needs.task)).sum()
-                    };
-                    (room(true).min(count), room(false).min(count), z.clone())
-                })
-                .collect();
-            zones.sort_by_key(|z| std::cmp::Reverse((z.0, z.1)));
-            zones.into_iter().map(|z| Some(z.2)).collect()
+    fn choose_all(&self, needs: &Needs, plan: &mut Plan, count: u32) -> Option<Vec<usize>> {
+        let zones: Vec<Option<usize>> = if needs.spec.one_zone {
+            let mut room = vec![(0u32, 0u32); self.cfg.zones.len()];
+            for &i in &plan.open {
+                let b = &plan.bins[i];
+                let Some(room) = room.get_mut(b.zone) else { continue };
+                let holds = b.free.holds(&needs.task);
+                if holds > 0 && self.allowed(needs, b) {
+                    room.0 += if b.ready { holds } else { 0 };
+                    room.1 += holds;
+                }
+            }
+            let mut zones: Vec<usize> = (0..room.len()).collect();
+            zones.sort_by_key(|&z| Reverse((room[z].0.min(count), room[z].1.min(count))));
+            zones.into_iter().map(Some).collect()
         } else {
             vec![None]
         };
         for zone in zones {
-            let mut needs = Needs {
-                id: needs.id.clone(),
-                spec: needs.spec.clone(),
-                task: needs.task,
-                suspect: needs.suspect,
-                spare_ordinary: false,
-                zones: needs.zones.clone(),
-            };
-            let mut taken = Vec::new();
-            let before = plan.bins.len();
-            let demand = plan.demand.clone();
+            let mut taking = needs.clone();
+            let mut candidates = self.candidates(needs, plan, zone);
+            let mut taken: Vec<usize> = Vec::new();
+            let (bins, open, demand) = (plan.bins.len(), plan.open.len(), plan.demand.clone());
+            let mut undo = Vec::new();
             for left in (1..=count).rev() {
-                match self.choose(&needs, plan, zone.as_deref(), left, now) {
-                    Some(bin) => {
-                        plan.take(bin, &mut needs);
-                        taken.push(bin);
-                    }
-                    None => break,
+                let found = candidates.best(&taking, plan, |b| plan.score(&taking, b)).or_else(|| {
+                    let new = plan.open_new(&taking, zone, left)?;
+                    candidates.put_first(new, plan.bins[new].zone);
+                    Some(new)
+                });
+                let Some(bin) = found else { break };
+                if bin < bins {
+                    undo.push((bin, plan.bins[bin].before()));
                 }
+                plan.take(bin, &mut taking);
+                taken.push(bin);
             }
             if taken.len() == count as usize {
                 return Some(taken);
             }
-            for &bin in &taken {
-                plan.bins[bin].free = plan.bins[bin].free + needs.task;
+            for (bin, before) in undo.into_iter().rev() {
+                plan.bins[bin].restore(before);
             }
-            plan.bins.truncate(before);
+            plan.bins.truncate(bins);
+            plan.open.truncate(open);
             plan.demand = demand;
         }
         None
@@ -409,22 +581,21 @@
     /// this, single tasks take every place that falls free, and gangs starve. Machines without
     /// replicas, which stay long, are chosen; the emptiest first, and in one zone if it must be.
     fn reserve(&self, needs: &Needs, plan: &mut Plan, count: u32) {
+        if plan.reservations >= MOST_RESERVATIONS {
+            return;
+        }
+        plan.reservations += 1;
+        let holds: Vec<u32> = plan.kinds.iter().map(|k| k.holds(&needs.task)).collect();
+        let zones = if needs.spec.one_zone { self.cfg.zones.len() + 1 } else { 1 };
+        let mut fits: Vec<Vec<(u32, u32, usize)>> = vec![Vec::new(); zones];
+        for (i, b) in plan.bins.iter().enumerate() {
+            if b.replicas == 0 && holds[b.kind] > 0 && self.allowed(needs, b) {
+                fits[b.zone.min(zones - 1)].push((b.free.holds(&needs.task), holds[b.kind], i));
+            }
+        }
         let mut best: Option<(u32, u32, Vec<usize>)> = None;
-        let zones: Vec<Option<&String>> =
-            if needs.spec.one_zone { self.cfg.zones.iter().map(Some).collect() } else { vec![None] };
-        for zone in zones {
-            let mut fits: Vec<(u32, u32, usize)> = plan
-                .bins
-                .iter()
-                .enumerate()
-                .filter(|(_, b)| zone.is_none_or(|z| b.zone == *z) && b.replicas == 0 && self.allowed(needs, b))
-                .filter_map(|(i, b)| {
-                    let total = Amounts::of_type(self.machine_type(&b.machine_type)?).holds(&needs.task);
-                    let now = b.free.holds(&needs.task);
-                    (total > 0).then_some((now, total, i))
-                })
-                .collect();
-            fits.sort_by_key(|f| std::cmp::Reverse((f.0, f.1)));
+        for mut fits in fits {
+            fits.sort_unstable_by_key(|f| Reverse((f.0, f.1)));
             let (mut room, mut now, mut taken) = (0, 0, Vec::new());
             for (free, total, i) in fits {
                 if room >= count {
@@ -442,128 +613,132 @@
             && room >= count
         {
             for i in taken {
-                let b = &mut plan.bins[i];
-                b.free = Amounts::default();
-                if let Some(m) = &b.machine {
-                    plan.wanted.insert(m.clone());
-                }
+                plan.bins[i].free = Amounts::default();
+                plan.bins[i].wanted = true;
             }
         }
     }
 
-    /// Moves a replica that keeps a machine half empty to one that has room and its image: the
-    /// machine can then hold a gang, or be returned. One at a time, and none that has just
+    /// Moves replicas that keep a machine half empty to ones that have room and their image: the
+    /// machine can then hold a gang, or be returned. A few at a time, and none that has just
     /// started. (Moving replicas to drain a machine is allowed.)
     fn consolidate(&mut self, plan: &Plan, now: Micros) {
         if now < self.next_move || self.recovering() {
             return;
         }
+        self.next_move = now + Micros::from_secs(4);
         let settled = Micros::from_secs(40);
-        let found = self.machines.values().find_map(|m| {
-            let total = Amounts::of_type(self.machine_type(&m.machine_type)?);
-            let mut live = m.slots.iter().filter(|(_, s)| s.is_live());
-            let ((task, attempt), slot) = live.next()?;
-            let spec = slot.spec.as_ref()?;
-            let lone = live.next().is_none() && m.phase == Phase::Up && !m.deleting;
-            let ran = slot.running_since.is_some_and(|t| now >= t + settled);
-            if !lone || !ran || slot.stop.is_some() || spec.kind != JobKind::Service {
-                return None;
+        let host = |b: &Bin| b.ready && b.replicas > 0 && b.free != Amounts::default();
+        let hosts: Vec<usize> = (0..plan.bins.len()).filter(|&i| host(&plan.bins[i])).collect();
+        let mut taken: Vec<usize> = Vec::new();
+        let mut moves = Vec::new();
+        // One move for each 64 machines: a move costs the replica a moment.
+        let most = 1 + self.machines.len() / 64;
+        // Each round looks at some, the next round at the next: each look searches all hosts.
+        let searched = hosts.len().min(64);
+        self.move_cursor = (self.move_cursor + searched) % hosts.len().max(1);
+        for &from in hosts.iter().cycle().skip(self.move_cursor).take(searched) {
+            if moves.len() >= most {
+                break;
+            }
+            let bin = &plan.bins[from];
+            let Some(m) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else { continue };
+            if m.kept_load().is_none_or(|l| l.live != 1 || l.replicas != 1) || taken.contains(&from) {
+                continue;
             }
-            let mut needs = self.needs(&task.job)?;
-            if let Some(n) = needs.zones.get_mut(&m.zone) {
-                *n -= 1;
+            let Some(((task, attempt), slot)) = m.slots().iter().find(|(_, s)| s.is_live()) else { continue };
+            let ran = slot.running_since.is_some_and(|t| now >= t + settled);
+            if !ran || slot.stop.is_some() {
+                continue;
             }
+            let Some(mut needs) = self.needs(&task.job) else { continue };
+            needs.zones[bin.zone] = needs.zones[bin.zone].saturating_sub(1);
             let size = |free: &Amounts| free.holds(&needs.task);
-            let better = plan.bins.iter().any(|b| {
-                b.ready
-                    && b.machine.as_ref().is_some_and(|o| *o != m.id)
-                    && b.replicas > 0
-                    && b.images.contains(&spec.image)
+            let left = size(&(plan.kinds[bin.kind] - needs.task));
+            let better = hosts.iter().copied().find(|&i| {
+                let b = &plan.bins[i];
+                i != from
                     && needs.task.fits_in(&b.free)
                     // Only from the emptier to the fuller, or moves would never end.
-                    && size(&b.free) <= size(&(total - needs.task))
+                    && size(&b.free) <= left
+                    && !taken.contains(&i)
+                    && plan.has_image(b, needs.image)
                     && self.allowed(&needs, b)
-                    && self.zone_allows(&needs, &b.zone)
+                    && needs.zone_allows(b.zone)
             });
-            better.then(|| (m.id.clone(), task.clone(), *attempt, spec.save_s))
-        });
-        if let Some((machine, task, attempt, grace)) = found {
+            if let Some(to) = better {
+                taken.push(to);
+                taken.push(from);
+                moves.push((m.id.clone(), task.clone(), *attempt, needs.spec.save_s));
+            }
+        }
+        for (machine, task, attempt, grace) in moves {
             info!(machine = %machine, task = %task, "moving replica to drain machine");
-            self.next_move = now + Micros::from_secs(4);
             self.stop_slot(&machine, &task.job, task.index, attempt, grace);
         }
     }
 
     /// The job may use this machine.
     fn allowed(&self, needs: &Needs, bin: &Bin) -> bool {
-        let s = &needs.spec;
-        s.types.as_ref().is_none_or(|t| t.contains(&bin.machine_type))
-            && s.zone.as_ref().is_none_or(|z| *z == bin.zone)
-            && (s.spot || !bin.spot)
+        needs.kinds[bin.kind]
+            && needs.zone.is_none_or(|z| z == bin.zone)
+            && (needs.spec.spot || !bin.spot)
             && !(needs.spare_ordinary && !bin.spot && bin.empty)
-            && (needs.suspect || !bin.failed_jobs.contains(&needs.id))
+            && (needs.suspect || !bin.failed || !self.failed_on(bin, &needs.id))
     }
 
-    /// The job's zone rules allow one more task in this zone, given where its others are.
-    /// (Guards `wrong_place`.)
-    fn zone_allows(&self, needs: &Needs, zone: &str) -> bool {
-        let s = &needs.spec;
-        if s.one_zone && needs.zones.iter().any(|(z, &n)| n > 0 && z != zone) {
-            return false;
-        }
-        !s.spread || needs.zones.get(zone).copied().unwrap_or(0) < s.tasks.div_ceil(2)
+    fn failed_on(&self, bin: &Bin, job: &JobId) -> bool {
+        let machine = bin.machine.as_ref().and_then(|m| self.machines.get(m));
+        machine.is_some_and(|m| m.failed_jobs.contains(job))
     }
 
-    /// The best bin for one task of a job; opens a new one if none has room.
-    fn choose(&self, needs: &Needs, plan: &mut Plan, zone: Option<&str>, left: u32, now: Micros) -> Option<usize> {
-        if let Some(i) = self.choose_open(needs, plan, zone) {
-            return Some(i);
-        }
-        let offer = self.best_offer(needs, zone, left, now)?;
-        let bin = self.new_bin(&offer)?;
-        *plan.demand.entry(offer).or_default() += 1;
-        plan.bins.push(bin);
-        Some(plan.bins.len() - 1)
-    }
-
-    /// The best bin with room, ready ones first.
-    fn choose_open(&self, needs: &Needs, plan: &Plan, zone: Option<&str>) -> Option<usize> {
-        let mut best: Option<(f64, usize)> = None;
-        for (i, bin) in plan.bins.iter().enumerate() {
-            if !needs.task.fits_in(&bin.free)
-                || zone.is_some_and(|z| z != bin.zone)
-                || !self.allowed(needs, bin)
-                || !self.zone_allows(needs, &bin.zone)
-            {
-                continue;
-            }
-            let score = self.score(needs, bin);
-            if best.is_none_or(|(s, _)| score > s) {
-                best = Some((score, i));
+    /// All bins that have room for a task of the job, best first.
+    fn candidates(&self, needs: &Needs, plan: &Plan, zone: Option<usize>) -> Candidates {
+        let zones = if needs.cares_for_zones() { self.cfg.zones.len() + 1 } else { 1 };
+        let mut scored: Vec<Vec<(f64, usize)>> = vec![Vec::new(); zones];
+        for &i in &plan.open {
+            let b = &plan.bins[i];
+            if needs.task.fits_in(&b.free) && zone.is_none_or(|z| z == b.zone) && self.allowed(needs, b) {
+                scored[b.zone.min(zones - 1)].push((plan.score(needs, b), i));
             }
         }
-        best.map(|(_, i)| i)
+        let lists: Vec<Vec<usize>> = scored
+            .into_iter()
+            .map(|mut list| {
+                list.sort_by(|a, b| b.0.total_cmp(&a.0));
+                list.into_iter().map(|(_, i)| i).collect()
+            })
+            .collect();
+        Candidates { next: vec![0; lists.len()], lists }
     }
 
     /// Makes room for a production task on a machine that is up by stopping tasks of arrays of
     /// lower priority: nobody else is preempted, for arrays lose least. The room is taken in the
     /// plan; the task starts once the others have exited. Returns the zone.
-    fn preempt(&self, needs: &Needs, plan: &mut Plan, now: Micros) -> Option<String> {
-        if needs.spec.priority != Priority::Production {
+    fn preempt(&self, needs: &Needs, plan: &mut Plan, now: Micros) -> Option<usize> {
+        if plan.preempt_searches >= MOST_PREEMPT_SEARCHES {
             return None;
         }
+        plan.preempt_searches += 1;
         let mut best: Option<Room> = None;
         for (i, bin) in plan.bins.iter().enumerate() {
-            if !bin.ready || !self.allowed(needs, bin) || !self.zone_allows(needs, &bin.zone) {
+            if !bin.ready
+                || !needs.task.fits_in(&(bin.free + bin.freeing + bin.preemptible))
+                || !self.allowed(needs, bin)
+                || !needs.zone_allows(bin.zone)
+            {
+                continue;
+            }
+            let image = if plan.has_image(bin, needs.image) { 0.0 } else { 1000.0 };
+            if best.as_ref().is_some_and(|b| image >= b.0) {
                 continue;
             }
-            let image = if bin.images.contains(&needs.spec.image) { 0.0 } else { 1000.0 };
             let mut room = bin.free + bin.freeing;
             let mut victims = Vec::new();
             let mut lost = 0.0;
             let Some(m) = bin.machine.as_ref().and_then(|m| self.machines.get(m)) else { continue };
             let mut candidates: Vec<(f64, &TaskKey, &Slot)> = m
-                .slots
+                .slots()
                 .iter()
                 .filter(|(k, s)| s.is_live() && s.stop.is_none() && !plan.victims.iter().any(|v| v.1 == **k))
                 .filter(|(_, s)| {
@@ -591,83 +766,15 @@
         let (_, i, victims) = best?;
         let bin = &mut plan.bins[i];
         let machine = bin.machine.clone()?;
-        let freed = victims.iter().filter_map(|k| self.machines.get(&machine)?.slots.get(k)).map(Slot::amounts);
+        let freed = victims.iter().filter_map(|k| self.machines.get(&machine)?.slots().get(k)).map(Slot::amounts);
         let freed = freed.fold(Amounts::default(), |a, b| a + b);
         // Room that is promised to this task is neither free nor freeing for others.
         bin.freeing = bin.freeing + bin.free + freed - needs.task;
+        bin.preemptible = bin.preemptible - freed;
         bin.free = Amounts::default();
-        plan.wanted.insert(machine.clone());
-        let zone = bin.zone.clone();
+        bin.wanted = true;
         plan.victims.extend(victims.into_iter().map(|k| (machine.clone(), k)));
-        Some(zone)
-    }
-
-    fn score(&self, needs: &Needs, bin: &Bin) -> f64 {
-        let mut score = 0.0;
-        if bin.ready {
-            score += 1000.0;
-        }
-        if bin.images.contains(&needs.spec.image) {
-            score += 100.0;
-        }
-        // Work that may use spot machines leaves the ordinary ones to work that may not.
-        if bin.spot {
-            score += 50.0;
-        }
-        if !bin.empty {
-            score += 20.0;
-        }
-        if needs.spec.kind == JobKind::Service {
-            // Replicas stay long: packed together they leave whole machines to gangs, and to be
-            // returned. Spread over zones, one zone's end takes few of a job's.
-            if bin.replicas > 0 {
-                score += 70.0;
-            }
-            score -= 30.0 * f64::from(needs.zones.get(&bin.zone).copied().unwrap_or(0));
-        }
-        // Best fit.
-        score - (bin.free.gpus - needs.task.gpus) - (bin.free.cpus - needs.task.cpus) / 16.0
-    }
-
-    /// The cloud has not refused every kind of spot machine that the job may use.
-    fn spot_offered(&self, needs: &Needs, now: Micros) -> bool {
-        self.best_offer(needs, None, 1, now).is_some_and(|o| o.spot)
-    }
-
-    fn best_offer(&self, needs: &Needs, zone: Option<&str>, left: u32, now: Micros) -> Option<Offer> {
-        let s = &needs.spec;
-        let mut best: Option<(f64, Offer)> = None;
-        for t in &self.types {
-            let slots = Amounts::of_type(t).holds(&needs.task);
-            if slots == 0 || s.types.as_ref().is_some_and(|names| !names.contains(&t.name)) {
-                continue;
-            }
-            let zones = if t.zones.is_empty() { &self.cfg.zones } else { &t.zones };
-            for z in zones {
-                if zone.is_some_and(|want| want != z)
-                    || s.zone.as_ref().is_some_and(|want| want != z)
-                    || !self.zone_allows(needs, z)
-                {
-                    continue;
-                }
-                for spot in [true, false] {
-                    let offer = Offer { machine_type: t.name.clone(), zone: z.clone(), spot };
-                    if (spot && (!s.spot || t.spot_price <= 0.0)) || self.rents.refused(&offer, now) {
-                        continue;
-                    }
-                    let price = if spot { t.spot_price } else { t.price };
-                    // Per slot that this job can use.
-                    let mut cost = price / f64::from(slots.min(left.max(1)));
-                    // Zones in which we have fewer machines are preferred, slightly.
-                    let here = self.machines.values().filter(|m| m.zone == *z).count();
-                    cost *= 1.0 + 0.01 * here as f64 + 0.001 * t.boot_s;
-                    if best.as_ref().is_none_or(|(c, _)| cost < *c) {
-                        best = Some((cost, offer));
-                    }
-                }
-            }
-        }
-        best.map(|(_, o)| o)
+        Some(plan.bins[i].zone)
     }
 
     /// Puts an attempt on a machine; its start order goes out with the next orders.
@@ -676,9 +783,9 @@
         let Some(m) = self.machines.get_mut(&s.machine) else { return };
         let task = TaskId { job: s.job, index: s.index };
         let slot = Slot::new(SlotState::Sent, Some(spec), now);
-        m.slots.insert((task.clone(), s.attempt), slot);
-        m.orders_changed = true;
+        m.slots_mut().insert((task.clone(), s.attempt), slot);
         m.idle_since = None;
+        self.orders_due.insert(s.machine.clone());
         self.place_add(&s.machine, &task, s.attempt);
     }
 
@@ -686,21 +793,23 @@
     /// services leave machines that are about to be taken.
     pub(super) fn wind_up(&mut self) {
         let mut stops: Vec<(MachineId, JobId, u32, Attempt, f64)> = Vec::new();
-        for (id, job) in &mut self.jobs {
-            let placed = job.places.len() as u32;
-            let leaving = |machines: &BTreeMap<MachineId, Machine>, m: &MachineId| {
-                machines.get(m).is_some_and(|m| m.notice.is_some() || m.faulty)
-            };
-            if !job.is_gang() {
-                if job.spec.kind == JobKind::Service {
-                    for (&index, places) in &job.places {
-                        for (m, attempt) in places.iter().filter(|(m, _)| leaving(&self.machines, m)) {
-                            stops.push((m.clone(), id.clone(), index, *attempt, job.spec.save_s));
-                        }
+        let mut moving: BTreeSet<JobId> = BTreeSet::new();
+        for m in self.machines.values().filter(|m| m.notice.is_some() || m.faulty) {
+            for ((task, attempt), _) in m.slots().iter().filter(|(_, s)| s.is_live()) {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                match job.spec.kind {
+                    JobKind::Service => {
+                        stops.push((m.id.clone(), task.job.clone(), task.index, *attempt, job.spec.save_s));
+                    }
+                    JobKind::Gang => {
+                        moving.insert(task.job.clone());
                     }
+                    JobKind::Array => {}
                 }
-                continue;
             }
+        }
+        for (id, job) in self.jobs.iter_mut().filter(|(_, j)| j.is_gang()) {
+            let placed = job.places.len() as u32;
             if placed == 0 {
                 job.gang_failing = false;
                 job.gang_started = false;
@@ -709,7 +818,7 @@
             if job.gang_started && placed < job.spec.tasks {
                 job.gang_failing = true;
             }
-            let moved = job.places.values().flatten().any(|(m, _)| leaving(&self.machines, m));
+            let moved = moving.contains(id);
             for (&index, places) in &job.places {
                 for (m, attempt) in places {
                     if job.gang_failing || *attempt != job.term {
@@ -724,53 +833,131 @@
         for (machine, job, index, attempt, grace) in stops {
             self.stop_slot(&machine, &job, index, attempt, grace);
         }
-        self.count_running();
     }
 
-    fn count_running(&mut self) {
-        for job in self.jobs.values_mut() {
-            job.running = 0;
-        }
-        for m in self.machines.values() {
-            for ((task, _), slot) in &m.slots {
-                if matches!(slot.state, SlotState::Live(TaskState::Running | TaskState::Saving))
-                    && let Some(job) = self.jobs.get_mut(&task.job)
-                {
-                    job.running += 1;
-                }
-            }
-        }
+    /// How many of a job's tasks run, as far as we know.
+    pub fn running(&self, id: &JobId) -> u32 {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let runs = |index: u32, machine: &MachineId, attempt: Attempt| {
+            let key = (TaskId { job: id.clone(), index }, attempt);
+            let slot = self.machines.get(machine).and_then(|m| m.slots().get(&key));
+            slot.is_some_and(|s| matches!(s.state, SlotState::Live(TaskState::Running | TaskState::Saving)))
+        };
+        let places = job.places.iter().flat_map(|(i, p)| p.iter().map(move |(m, a)| (*i, m, *a)));
+        places.filter(|(i, m, a)| runs(*i, m, *a)).count() as u32
     }
 }
 
-/// What the tasks of a machine hold that have been told to end without saving.
-fn freeing(m: &Machine) -> Amounts {
-    let going = |s: &&Slot| s.is_live() && s.stop.is_some_and(|s| s.grace_s == 0.0);
-    m.slots.values().filter(going).fold(Amounts::default(), |a, s| a + s.amounts())
-}
+/// What of a bin a gang's try changes.
+type Before = (Amounts, bool, u32, Option<ImageKey>, bool);
 
-/// Replicas of services on a machine.
-fn replicas(m: &Machine) -> u32 {
-    let service = |s: &&Slot| s.is_live() && s.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service);
-    m.slots.values().filter(service).count() as u32
+impl Bin {
+    fn rented(kind: usize, zone: usize, spot: bool, total: Amounts) -> Bin {
+        Bin {
+            machine: None,
+            ready: false,
+            kind,
+            zone,
+            spot,
+            free: total,
+            empty: true,
+            replicas: 0,
+            freeing: Amounts::default(),
+            preemptible: Amounts::default(),
+            images: (0, 0),
+            latest: None,
+            failed: false,
+            wanted: false,
+        }
+    }
+
+    fn before(&self) -> Before {
+        (self.free, self.empty, self.replicas, self.latest, self.wanted)
+    }
+
+    fn restore(&mut self, before: Before) {
+        (self.free, self.empty, self.replicas, self.latest, self.wanted) = before;
+    }
 }
 
 impl Plan {
+    fn has_image(&self, bin: &Bin, image: ImageKey) -> bool {
+        let (first, end) = bin.images;
+        bin.latest == Some(image) || self.images[first as usize..end as usize].contains(&image)
+    }
+
+    fn score(&self, needs: &Needs, bin: &Bin) -> f64 {
+        let mut score = 0.0;
+        if bin.ready {
+            score += 1000.0;
+        }
+        if self.has_image(bin, needs.image) {
+            score += 100.0;
+        }
+        // Work that may use spot machines leaves the ordinary ones to work that may not.
+        if bin.spot {
+            score += 50.0;
+        }
+        if !bin.empty {
+            score += 20.0;
+        }
+        if needs.spec.kind == JobKind::Service {
+            // Replicas stay long: packed together they leave whole machines to gangs, and to be
+            // returned. Spread over zones, one zone's end takes few of a job's.
+            if bin.replicas > 0 {
+                score += 70.0;
+            }
+            score -= 30.0 * f64::from(needs.zones[bin.zone]);
+        }
+        // Best fit.
+        score - (bin.free.gpus - needs.task.gpus) - (bin.free.cpus - needs.task.cpus) / 16.0
+    }
+
+    /// The cheapest offer per task that the job can place on it.
+    fn best_offer(&self, needs: &Needs, zone: Option<usize>, left: u32) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (i, o) in self.offers.iter().enumerate() {
+            if !needs.kinds[o.kind]
+                || (o.spot && !needs.spec.spot)
+                || zone.is_some_and(|want| want != o.zone)
+                || needs.zone.is_some_and(|want| want != o.zone)
+                || !needs.zone_allows(o.zone)
+            {
+                continue;
+            }
+            let slots = self.kinds[o.kind].holds(&needs.task).min(left.max(1));
+            let cost = o.cost / f64::from(slots);
+            if slots > 0 && best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, i));
+            }
+        }
+        best.map(|(_, i)| i)
+    }
+
+    /// Counts on one more machine for a task of the job; its bin.
+    fn open_new(&mut self, needs: &Needs, zone: Option<usize>, left: u32) -> Option<usize> {
+        let offer = self.best_offer(needs, zone, left)?;
+        self.demand[offer] += 1;
+        let o = &self.offers[offer];
+        self.bins.push(Bin::rented(o.kind, o.zone, o.spot, self.kinds[o.kind]));
+        self.open.push(self.bins.len() - 1);
+        Some(self.bins.len() - 1)
+    }
+
     /// Charges `n` tasks to their team unless that exceeds its limit.
-    fn charge(&mut self, needs: &Needs, n: f64, team: Option<&Team>) -> bool {
-        let Some(team) = team else { return false };
-        let used = self.used.entry(needs.spec.team.clone()).or_default();
-        let sum = *used + needs.task.times(n);
-        if !team.allows(&sum) {
+    fn charge(&mut self, needs: &Needs, n: u32, teams: &[Team]) -> bool {
+        let Some(team) = needs.team else { return false };
+        let sum = self.used[team] + needs.task.times(f64::from(n));
+        if !teams[team].allows(&sum) {
             return false;
         }
-        *used = sum;
+        self.used[team] = sum;
         true
     }
 
-    fn refund(&mut self, needs: &Needs, n: f64) {
-        if let Some(used) = self.used.get_mut(&needs.spec.team) {
-            *used = *used - needs.task.times(n);
+    fn refund(&mut self, needs: &Needs, n: u32) {
+        if let Some(team) = needs.team {
+            self.used[team] = self.used[team] - needs.task.times(f64::from(n));
         }
     }
 
@@ -779,12 +966,8 @@
         b.free = b.free - needs.task;
         b.empty = false;
         b.replicas += u32::from(needs.spec.kind == JobKind::Service);
-        if !b.images.contains(&needs.spec.image) {
-            b.images.push(needs.spec.image.clone());
-        }
-        *needs.zones.entry(b.zone.clone()).or_default() += 1;
-        if let Some(m) = &b.machine {
-            self.wanted.insert(m.clone());
-        }
+        b.latest = Some(needs.image);
+        b.wanted = true;
+        needs.zones[b.zone] += 1;
     }
 }
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -1,43 +1,24 @@
 //! What must be written to the state service, in batches within half of its write rate.
 
 use super::job::{EndRecord, JobRecord};
+use super::register::RegisterPage;
 use super::{Action, Config, Core};
-use crate::ids::{JobId, MachineId, Mark};
+use crate::ids::{JobId, Mark, Token};
 use crate::time::Micros;
 use crate::wire::user::JobState;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
-
-/// A machine in the register: tasks may be on it. Under `fleet/ID`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    pub machine_type: String,
-    pub zone: String,
-    pub spot: bool,
-}
+use std::collections::BTreeMap;
 
 /// One write of a batch. Every batch is conditional on our grant as well.
 #[derive(Debug, Clone)]
 pub enum Write {
     /// Replace the record, which must still have this mark.
-    Update {
-        job: JobId,
-        mark: Mark,
-        record: JobRecord,
-    },
+    Update { job: JobId, mark: Mark, record: JobRecord },
     /// Move the record, which must still have this mark, to its final place.
-    End {
-        job: JobId,
-        mark: Mark,
-        end: EndRecord,
-    },
-    Register {
-        machine: MachineId,
-        record: MachineRecord,
-    },
-    Unregister {
-        machine: MachineId,
-    },
+    End { job: JobId, mark: Mark, end: EndRecord },
+    /// Replace a page of the register, which must still have this mark, or drop it.
+    Page { key: String, mark: Mark, page: Option<RegisterPage> },
+    /// Drop a page of the register whatever it holds.
+    DropPage { key: String },
 }
 
 #[derive(Debug, Clone)]
@@ -49,7 +30,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BatchError {
     /// The records of these jobs have changed meanwhile.
-    Conflict(Vec<JobId>),
+    Conflict { jobs: Vec<JobId>, pages: Vec<String> },
+    /// Our grant is gone: somebody else leads.
+    Deposed,
     /// Certainly not executed.
     Refused,
     /// It may have been executed, or may yet be.
@@ -57,114 +40,170 @@
 }
 
 pub(super) struct Writes {
-    unregister: BTreeSet<MachineId>,
-    registering: BTreeSet<MachineId>,
+    /// Jobs that may have something to write, and since when that is known.
+    due: BTreeMap<JobId, Option<Micros>>,
     budget: f64,
     refilled: Micros,
     not_before: Micros,
+    /// Pages of the register are not rewritten for removals alone before this.
+    removals_at: Micros,
 }
 
 /// Bodies are limited to 64 KiB; a batch stays well below.
 const MOST_BYTES: usize = 40 * 1024;
 
+/// Results of single tasks wait this long for others of their job, while the rate is scarce:
+/// until they are recorded their workers keep reporting them.
+const GATHER: Micros = Micros::from_secs(2);
+
 impl Writes {
     pub fn new(cfg: &Config, now: Micros) -> Writes {
         Writes {
-            unregister: BTreeSet::new(),
-            registering: BTreeSet::new(),
+            due: BTreeMap::new(),
             budget: cfg.write_rps / 2.0,
             refilled: now,
             not_before: Micros::ZERO,
+            removals_at: Micros::ZERO,
+        }
+    }
+
+    /// The job's record may have to be written.
+    pub fn note(&mut self, job: &JobId) {
+        if !self.due.contains_key(job) {
+            self.due.insert(job.clone(), None);
         }
     }
 
-    pub fn unregister(&mut self, machine: MachineId) {
-        self.unregister.insert(machine);
+    pub fn notes(&self, job: &JobId) -> bool {
+        self.due.contains_key(job)
     }
 }
 
-impl Core {
-    /// When the next batch may be due, if anything waits to be written.
-    pub fn has_writes(&self) -> bool {
-        !self.writes.unregister.is_empty()
-            || self.jobs.values().any(|j| j.needs_write())
-            || self.machines.values().any(|m| self.wants_register(m))
+/// A batch in the making.
+struct Draft {
+    writes: Vec<Write>,
+    ops: usize,
+    bytes: usize,
+    most: usize,
+}
+
+impl Draft {
+    fn has_room(&self, ops: usize, bytes: usize) -> bool {
+        self.ops + ops <= self.most && self.bytes + bytes <= MOST_BYTES
     }
 
-    /// A machine is registered once its worker has reported, and before its first task: so the
-    /// next leader waits for no machine that still boots.
-    fn wants_register(&self, m: &super::Machine) -> bool {
-        m.phase == super::Phase::Up && !m.registered && !m.deleting && !self.writes.registering.contains(&m.id)
+    fn push(&mut self, write: Write, ops: usize, bytes: usize) {
+        self.ops += ops;
+        self.bytes += bytes;
+        self.writes.push(write);
+    }
+}
+
+impl Core {
+    /// True if anything waits to be written.
+    pub fn has_writes(&self) -> bool {
+        !self.writes.due.is_empty() || self.register.has_additions() || self.register.has_removals()
     }
 
     /// The next batch of writes, if some are due and the rate allows it.
     pub fn next_batch(&mut self, now: Micros) -> Option<Batch> {
         let rate = self.cfg.write_rps / 2.0;
+        let most_budget = rate.max(4.0);
         let w = &mut self.writes;
-        w.budget = (w.budget + rate * (now - w.refilled).as_secs_f64()).min(rate.max(4.0));
+        w.budget = (w.budget + rate * (now - w.refilled).as_secs_f64()).min(most_budget);
         w.refilled = now;
         if now < w.not_before || w.budget < 2.0 {
             return None;
         }
         let most = (w.budget as usize).min(self.cfg.txn_ops);
-        let mut ops = 0;
-        let mut bytes = 0;
-        let mut writes = Vec::new();
-        // Gangs' terms first: their tasks wait for it. Then whatever completes.
-        let mut due: Vec<&JobId> = self.jobs.iter().filter(|(_, j)| j.needs_write()).map(|(id, _)| id).collect();
-        due.sort_by_key(|id| self.jobs.get(*id).map(|j| (j.term == j.recorded_term, !j.is_done())));
-        let due: Vec<JobId> = due.into_iter().cloned().collect();
-        let machines: Vec<(MachineId, MachineRecord)> = self
-            .machines
-            .values()
-            .filter(|m| self.wants_register(m))
-            .map(|m| {
-                let r = MachineRecord { machine_type: m.machine_type.clone(), zone: m.zone.clone(), spot: m.spot };
-                (m.id.clone(), r)
-            })
-            .collect();
-        for (machine, record) in machines {
-            if ops + 1 > most {
-                break;
+        let ample = w.budget >= most_budget * 0.75;
+        let mut draft = Draft { writes: Vec::new(), ops: 0, bytes: 0, most };
+        // Gangs' terms first: their tasks wait for it. Then machines, which wait for their first
+        // task, then whatever completes, then what can be gathered.
+        let mut ranked: Vec<(u8, JobId)> = Vec::new();
+        let jobs = &self.jobs;
+        w.due.retain(|id, since| {
+            let Some(job) = jobs.get(id) else { return false };
+            if job.writing {
+                return true;
+            }
+            if !job.needs_write() {
+                return false;
             }
-            ops += 1;
-            self.writes.registering.insert(machine.clone());
-            writes.push(Write::Register { machine, record });
+            let since = *since.get_or_insert(now);
+            let rank = if job.term != job.recorded_term {
+                0
+            } else if job.is_done() {
+                1
+            } else if ample || now >= since + GATHER {
+                2
+            } else {
+                return true;
+            };
+            ranked.push((rank, id.clone()));
+            true
+        });
+        ranked.sort_unstable();
+        let split = ranked.partition_point(|(rank, _)| *rank == 0);
+        let rest = ranked.split_off(split);
+        self.draft_jobs(&mut draft, ranked);
+        self.draft_pages(&mut draft, false);
+        self.draft_jobs(&mut draft, rest);
+        if now >= self.writes.removals_at && draft.has_room(2, 0) && self.register.has_removals() {
+            self.writes.removals_at = now + Micros::from_millis(500);
+            self.draft_pages(&mut draft, true);
+        }
+        if draft.writes.is_empty() {
+            return None;
         }
-        for id in due {
+        self.writes.budget -= draft.ops as f64;
+        Some(Batch { writes: draft.writes })
+    }
+
+    fn draft_jobs(&mut self, draft: &mut Draft, jobs: Vec<(u8, JobId)>) {
+        for (_, id) in jobs {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let end = job.is_done();
             let cost = if end { 2 } else { 1 };
             let size = 1500 + job.done.parts() * 14;
-            if ops + cost > most || bytes + size > MOST_BYTES {
+            if !draft.has_room(cost, size) {
                 break;
             }
-            ops += cost;
-            bytes += size;
             job.writing = true;
-            writes.push(if end {
+            self.writes.due.insert(id.clone(), None);
+            let write = if end {
                 let end = EndRecord { state: JobState::Done, done: job.spec.tasks };
                 Write::End { job: id, mark: job.mark, end }
             } else {
                 Write::Update { job: id, mark: job.mark, record: job.record() }
-            });
+            };
+            draft.push(write, cost, size);
         }
-        while ops < most
-            && let Some(machine) = self.writes.unregister.pop_first()
-        {
-            ops += 1;
-            writes.push(Write::Unregister { machine });
+    }
+
+    /// A machine is registered once its worker has reported, and before its first task: so the
+    /// next leader waits for no machine that still boots.
+    fn draft_pages(&mut self, draft: &mut Draft, removals: bool) {
+        for id in self.register.take_wanted() {
+            let Some(m) = self.machines.get(&id) else { continue };
+            if m.phase != super::Phase::Up || m.deleting {
+                continue;
+            }
+            let (counter, token) = (&mut self.counter, self.token);
+            let kind = (m.machine_type.as_str(), m.zone.as_str(), m.spot);
+            self.register.add(id, kind, self.cfg.value_bytes, || page_key(counter, token));
         }
-        if writes.is_empty() {
-            return None;
+        while draft.has_room(1, self.cfg.value_bytes) || (draft.writes.is_empty() && draft.most >= 1) {
+            let Some((key, mark, page)) = self.register.next(removals) else { return };
+            let bytes = page.as_ref().map_or(0, RegisterPage::bytes);
+            let write =
+                if mark == Mark(u64::MAX) { Write::DropPage { key } } else { Write::Page { key, mark, page } };
+            draft.push(write, 1, bytes);
         }
-        self.writes.budget -= ops as f64;
-        Some(Batch { writes })
     }
 
     /// A batch went through at this revision, or did not.
     pub fn batch_ended(&mut self, batch: Batch, result: Result<Mark, BatchError>, now: Micros) {
-        self.changed = true;
         if result.is_err() {
             self.writes.not_before = now + Micros::from_millis(200);
         }
@@ -180,12 +219,10 @@
                                 job.recorded = record.done;
                                 job.recorded_term = record.term;
                             }
-                            let places: Vec<MachineId> =
-                                job.places.values().flatten().map(|(m, _)| m.clone()).collect();
-                            for m in places {
-                                if let Some(m) = self.machines.get_mut(&m) {
-                                    m.orders_changed = true;
-                                }
+                            // A gang may start now; results are reaped with the next answers.
+                            if job.is_gang() {
+                                let places = job.places.values().flatten().map(|(m, _)| m.clone());
+                                self.orders_due.extend(places);
                             }
                         }
                         Err(e) => self.reread_after(&id, e),
@@ -203,32 +240,43 @@
                         self.reread_after(&id, e);
                     }
                 },
-                Write::Register { machine, .. } => {
-                    self.writes.registering.remove(&machine);
-                    if result.is_ok() {
-                        match self.machines.get_mut(&machine) {
-                            Some(m) => {
-                                m.registered = true;
-                                m.orders_changed = true;
-                            }
-                            // Deleted meanwhile.
-                            None => self.writes.unregister(machine),
-                        }
+                Write::Page { key, page, .. } => self.page_ended(&key, page.as_ref(), &result),
+                Write::DropPage { key } => {
+                    if result.is_err() {
+                        self.register.refused(&key);
                     }
                 }
-                Write::Unregister { machine } => {
-                    if result.is_err() {
-                        self.writes.unregister(machine);
+            }
+        }
+    }
+
+    fn page_ended(&mut self, key: &str, page: Option<&RegisterPage>, result: &Result<Mark, BatchError>) {
+        let changed_by_others = |pages: &[String]| pages.iter().any(|p| p == key);
+        match result {
+            Ok(mark) => {
+                for id in self.register.written(key, *mark, page) {
+                    if let Some(m) = self.machines.get_mut(&id)
+                        && !m.registered
+                    {
+                        m.registered = true;
+                        self.changed = true;
                     }
                 }
             }
+            Err(BatchError::Conflict { pages, .. }) if !changed_by_others(pages) => self.register.refused(key),
+            Err(BatchError::Refused) => self.register.refused(key),
+            Err(_) => {
+                let (counter, token) = (&mut self.counter, self.token);
+                self.register.doubtful(key, || page_key(counter, token));
+            }
         }
     }
 
     /// After a conflict, or without an answer, the record itself says what holds.
     fn reread_after(&mut self, id: &JobId, error: &BatchError) {
         let reread = match error {
-            BatchError::Conflict(jobs) => jobs.contains(id),
+            BatchError::Conflict { jobs, .. } => jobs.contains(id),
+            BatchError::Deposed => false,
             BatchError::Refused => false,
             BatchError::Unknown => true,
         };
@@ -257,3 +305,9 @@
         self.actions.push_back(Action::Reread { job: id });
     }
 }
+
+/// A key that no other page has had.
+fn page_key(counter: &mut u64, token: Token) -> String {
+    *counter += 1;
+    format!("{token}-{counter}")
+}
--- /dev/null
+++ b/src/core/register.rs
@@ -0,0 +1,202 @@
+//! The register: which machines may hold tasks. A new leader reads it to know whom to wait for.
+//!
+//! Machines of one type, zone and kind share pages, so that a whole fleet is registered within a
+//! few writes. Each write of a page is conditional on the page's mark: a late one must not bring
+//! an older page back. (Guards `ran_twice`: a machine whose entry was lost would not be waited
+//! for.) A page whose write went unanswered is left behind for a new one.
+
+use crate::ids::{MachineId, Mark};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A page of the register, under `fleet/KEY`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegisterPage {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub machines: BTreeSet<MachineId>,
+}
+
+impl RegisterPage {
+    /// Bytes that it takes as a value, at the most.
+    pub fn bytes(&self) -> usize {
+        let names: usize = self.machines.iter().map(|m| m.as_str().len() + 3).sum();
+        names + self.machine_type.len() + self.zone.len() + 80
+    }
+}
+
+struct Page {
+    content: RegisterPage,
+    mark: Mark,
+    writing: bool,
+    /// Machines were added that the state service does not know of.
+    added: bool,
+    /// Machines were removed that it still names.
+    removed: bool,
+}
+
+#[derive(Default)]
+pub(super) struct Register {
+    pages: BTreeMap<String, Page>,
+    at: BTreeMap<MachineId, String>,
+    /// Machines that wait for a place on a page.
+    wanted: BTreeSet<MachineId>,
+    /// Pages that can't be read: their machines are unknown.
+    unreadable: Vec<String>,
+    /// Keys to be dropped.
+    drops: Vec<String>,
+}
+
+impl Register {
+    /// Takes over a page; returns the machines on it.
+    pub fn read(&mut self, key: String, mark: Mark, page: Option<&RegisterPage>) -> Vec<MachineId> {
+        let Some(content) = page.cloned() else {
+            self.unreadable.push(key);
+            return Vec::new();
+        };
+        let machines: Vec<MachineId> = content.machines.iter().cloned().collect();
+        self.at.extend(machines.iter().map(|m| (m.clone(), key.clone())));
+        self.pages.insert(key, Page { content, mark, writing: false, added: false, removed: false });
+        machines
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.at.is_empty() && self.unreadable.is_empty()
+    }
+
+    /// Some page can't be read, so recovery can end by time alone.
+    pub fn blind(&self) -> bool {
+        !self.unreadable.is_empty()
+    }
+
+    /// Recovery is over: unreadable pages name no machine that matters any more.
+    pub fn recovered(&mut self) {
+        self.drops.append(&mut self.unreadable);
+    }
+
+    pub fn names(&self, id: &MachineId) -> bool {
+        self.at.contains_key(id)
+    }
+
+    /// A machine is to be registered, unless it is already.
+    pub fn want(&mut self, id: &MachineId) {
+        if !self.at.contains_key(id) {
+            self.wanted.insert(id.clone());
+        }
+    }
+
+    pub fn take_wanted(&mut self) -> BTreeSet<MachineId> {
+        std::mem::take(&mut self.wanted)
+    }
+
+    /// Puts a machine on a page that has room for it.
+    pub fn add(
+        &mut self,
+        id: MachineId,
+        kind: (&str, &str, bool),
+        value_bytes: usize,
+        new_key: impl FnOnce() -> String,
+    ) {
+        let of_kind = |c: &RegisterPage| (c.machine_type.as_str(), c.zone.as_str(), c.spot) == kind;
+        let room = |p: &&mut Page| of_kind(&p.content) && p.content.bytes() + id.as_str().len() + 64 < value_bytes;
+        let found = self.pages.iter_mut().find(|(_, p)| room(p));
+        let key = match found {
+            Some((key, page)) => {
+                page.content.machines.insert(id.clone());
+                page.added = true;
+                key.clone()
+            }
+            None => {
+                let key = new_key();
+                let content = RegisterPage {
+                    machine_type: kind.0.to_owned(),
+                    zone: kind.1.to_owned(),
+                    spot: kind.2,
+                    machines: BTreeSet::from([id.clone()]),
+                };
+                let page = Page { content, mark: Mark(0), writing: false, added: true, removed: false };
+                self.pages.insert(key.clone(), page);
+                key
+            }
+        };
+        self.at.insert(id, key);
+    }
+
+    /// A machine is gone for certain.
+    pub fn remove(&mut self, id: &MachineId) {
+        self.wanted.remove(id);
+        if let Some(page) = self.at.remove(id).and_then(|key| self.pages.get_mut(&key)) {
+            page.content.machines.remove(id);
+            page.removed = true;
+        }
+    }
+
+    pub fn has_additions(&self) -> bool {
+        !self.wanted.is_empty() || self.pages.values().any(|p| p.added && !p.writing)
+    }
+
+    pub fn has_removals(&self) -> bool {
+        !self.drops.is_empty() || self.pages.values().any(|p| p.removed && !p.writing)
+    }
+
+    /// The next page to be written: one with additions, or else one with removals if they are
+    /// asked for. An empty page is dropped.
+    pub fn next(&mut self, removals: bool) -> Option<(String, Mark, Option<RegisterPage>)> {
+        // What a dropped page held must stand elsewhere first, or go there with the same write.
+        if removals
+            && !self.pages.values().any(|p| p.added)
+            && let Some(key) = self.drops.pop()
+        {
+            return Some((key, Mark(u64::MAX), None));
+        }
+        let due = |p: &&mut Page| !p.writing && (p.added || (removals && p.removed));
+        let (key, page) = self.pages.iter_mut().find(|(_, p)| due(p))?;
+        page.writing = true;
+        (page.added, page.removed) = (false, false);
+        let content = (!page.content.machines.is_empty()).then(|| page.content.clone());
+        Some((key.clone(), page.mark, content))
+    }
+
+    /// A write of a page went through; returns the machines that are now registered.
+    pub fn written(&mut self, key: &str, mark: Mark, content: Option<&RegisterPage>) -> Vec<MachineId> {
+        let Some(page) = self.pages.get_mut(key) else { return Vec::new() };
+        page.writing = false;
+        page.mark = if content.is_some() { mark } else { Mark(0) };
+        if page.content.machines.is_empty() && content.is_none() {
+            self.pages.remove(key);
+        }
+        content
+            .map(|c| c.machines.iter().filter(|m| self.at.contains_key(*m)).cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// A write certainly did not happen.
+    pub fn refused(&mut self, key: &str) {
+        if let Some(page) = self.pages.get_mut(key) {
+            page.writing = false;
+            page.added = true;
+        } else {
+            self.drops.push(key.to_owned());
+        }
+    }
+
+    /// A write may have happened or may yet happen: its machines move to a new page, and the old
+    /// one goes only once that stands.
+    pub fn doubtful(&mut self, key: &str, new_key: impl FnOnce() -> String) {
+        let Some(old) = self.pages.get_mut(key) else { return self.drops.push(key.to_owned()) };
+        old.writing = false;
+        let content = old.content.clone();
+        let new = new_key();
+        for m in &content.machines {
+            self.at.insert(m.clone(), new.clone());
+        }
+        self.pages.remove(key);
+        if !content.machines.is_empty() {
+            let page = Page { content, mark: Mark(0), writing: false, added: true, removed: false };
+            self.pages.insert(new, page);
+        }
+        // Dropped with the removals, after all additions.
+        self.drops.push(key.to_owned());
+    }
+}
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -6,7 +6,7 @@
 use crate::time::Micros;
 use crate::wire::cloud::{Listed, ListedState};
 use crate::wire::user::Priority;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use tracing::info;
 
 /// A kind of machine that can be rented.
@@ -20,7 +20,7 @@
 /// What a plan found to be missing.
 pub struct Demand {
     pub offers: BTreeMap<Offer, u32>,
-    pub wanted: BTreeSet<MachineId>,
+    pub wanted: Vec<MachineId>,
 }
 
 /// How a rental request ended.
@@ -120,7 +120,7 @@
                     self.rents.refusals.remove(&o);
                 }
                 for id in ids {
-                    if self.gone.contains(&id) {
+                    if self.gone.contains_key(&id) {
                         continue;
                     }
                     // A machine that we have rented ourselves was never commanded by anyone else.
@@ -150,15 +150,12 @@
     }
 
     /// The cloud confirmed a deletion: the machines and everything on them are gone.
-    pub fn deleted(&mut self, ids: &[MachineId]) {
+    pub fn deleted(&mut self, ids: &[MachineId], now: Micros) {
         for id in ids {
             self.clear_slots(id);
-            if let Some(m) = self.machines.remove(id)
-                && m.registered
-            {
-                self.writes.unregister(id.clone());
-            }
-            self.gone.insert(id.clone());
+            self.machines.remove(id);
+            self.register.remove(id);
+            self.gone.insert(id.clone(), now);
         }
         self.changed = true;
     }
@@ -176,7 +173,7 @@
     pub fn listed(&mut self, list: &[Listed], now: Micros) {
         self.listed = Some(list.iter().map(|l| l.id.clone()).collect());
         for l in list {
-            if self.gone.contains(&l.id) {
+            if self.gone.contains_key(&l.id) {
                 continue;
             }
             let age = Micros::from_secs_f64(l.age_s);
@@ -196,10 +193,10 @@
                 info!(machine = %l.id, zone = %l.zone, "machine failed");
             }
         }
-        // Keep the memory of deleted machines small: names come in creation order.
-        while self.gone.len() > 2000 {
-            self.gone.pop_first();
-        }
+        // A list can be twice its lag old, and a held-back report minutes: neither may bring a
+        // deleted machine back as alive.
+        let remember = Micros::from_secs(600).max(self.cfg.list_lag.times(8));
+        self.gone.retain(|_, at| now < *at + remember);
     }
 
     /// Returns machines that nobody needs, that are faulty, or that never came up.
@@ -213,12 +210,12 @@
         let mut idle_ordinary = self
             .machines
             .values()
-            .filter(|m| !m.spot && m.phase == Phase::Up && m.slots.is_empty() && !m.deleting && !m.faulty)
+            .filter(|m| !m.spot && m.phase == Phase::Up && m.slots().is_empty() && !m.deleting && !m.faulty)
             .count();
         let boots: BTreeMap<&str, Micros> =
             self.types.iter().map(|t| (t.name.as_str(), Micros::from_secs_f64(t.boot_s))).collect();
         for m in self.machines.values_mut() {
-            if !m.slots.is_empty() {
+            if !m.slots().is_empty() {
                 m.idle_since = None;
             } else if m.idle_since.is_none() && m.phase == Phase::Up {
                 m.idle_since = Some(now);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -29,12 +29,11 @@
         }
         if fresh {
             // Plan first, so that the orders go with this answer.
-            if self.changed {
+            if self.changed && self.plan_due(now) {
                 self.settle(now);
             }
             orders = self.orders_for(&report.machine, Some((report.session, report.seq)), now);
         }
-        self.changed = self.changed || fresh && self.recovering;
         Answer { token: self.token, orders }
     }
 
@@ -43,7 +42,7 @@
         if let Some(m) = self.machines.get_mut(machine) {
             m.direct_open = false;
             let answered = report.map(|r| (r.session, r.seq));
-            for slot in m.slots.values_mut().filter(|s| s.direct) {
+            for (_, slot) in m.slots_in_flight().filter(|(_, s)| s.direct) {
                 slot.direct = false;
                 if executed && slot.offered < answered {
                     slot.offered = answered;
@@ -58,7 +57,8 @@
         {
             self.merge(r, false, now);
         }
-        self.changed = true;
+        // What changed meanwhile, or was refused, is still to be sent.
+        self.orders_due.insert(machine.clone());
     }
 
     /// Direct orders got no answer. If they may have been sent they may be executed late, at any
@@ -67,18 +67,18 @@
         if let Some(m) = self.machines.get_mut(machine) {
             m.direct_open = false;
             m.direct_retry_at = now + Micros::from_secs(3);
-            for slot in m.slots.values_mut().filter(|s| s.direct) {
+            for (_, slot) in m.slots_in_flight().filter(|(_, s)| s.direct) {
                 slot.direct = false;
                 slot.doubtful |= maybe_sent;
             }
+            self.orders_due.insert(machine.clone());
         }
-        self.changed = true;
     }
 
     /// Takes over what a report says if it is newer than all before; true if so.
     fn merge(&mut self, report: &Report, hello: bool, now: Micros) -> bool {
         let id = &report.machine;
-        if self.gone.contains(id) {
+        if self.gone.contains_key(id) {
             return false;
         }
         if !self.machines.contains_key(id) {
@@ -98,12 +98,14 @@
         }
         let new_session = report.session > m.session;
         let back = m.phase != Phase::Up;
-        if back || report.tasks.len() != m.slots.len() {
-            self.changed = true;
-        }
+        let was_settled = m.settled(self.token);
         m.session = report.session;
         m.seq = report.seq;
         m.token_seen = m.token_seen.max(report.token);
+        self.changed |= back || was_settled != m.settled(self.token);
+        if !m.registered {
+            self.register.want(id);
+        }
         m.last_seen = now;
         m.address = report.address.parse().ok();
         m.spot = report.spot;
@@ -140,13 +142,13 @@
 
     fn merge_task(&mut self, id: &MachineId, task: TaskId, t: &TaskReport, now: Micros) {
         let key = (task, t.attempt);
-        let known = self.machines.get(id).is_some_and(|m| m.slots.contains_key(&key));
+        let known = self.machines.get(id).is_some_and(|m| m.slots().contains_key(&key));
         if !known {
             // Reconnect: an attempt of an earlier holder, or one that we believed gone.
             let spec = self.jobs.get(&key.0.job).map(|j| j.spec.clone());
             let slot = Slot::new(SlotState::Live(TaskState::Fetching), spec, now);
             if let Some(m) = self.machines.get_mut(id) {
-                m.slots.insert(key.clone(), slot);
+                m.slots_mut().insert(key.clone(), slot);
             }
             self.place_add(id, &key.0, t.attempt);
             self.changed = true;
@@ -155,13 +157,15 @@
             (TaskState::Ended, why) => SlotState::Ended(why.unwrap_or(ExitReason::Other)),
             (s, _) => SlotState::Live(s),
         };
-        let Some(slot) = self.machines.get_mut(id).and_then(|m| m.slots.get_mut(&key)) else { return };
-        let was = slot.state;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(was) = m.slots().get(&key).map(|s| s.state) else { return };
         if matches!(was, SlotState::Ended(_)) || (known && was == state) {
             return;
         }
+        let Some(slot) = m.slots_mut().get_mut(&key) else { return };
         slot.state = state;
-        self.changed = true;
+        // Only an end makes room.
+        self.changed |= matches!(state, SlotState::Ended(_));
         match state {
             SlotState::Live(TaskState::Running) => {
                 slot.running_since.get_or_insert(now);
@@ -189,6 +193,7 @@
             // All tasks of a gang share their latest recorded attempt; others are being wound up.
             if attempt > job.term {
                 job.term = attempt;
+                self.writes.note(&task.job);
             } else if attempt < job.term {
                 self.stop_slot(id, &task.job, task.index, attempt, 0.0);
             }
@@ -200,12 +205,12 @@
             if job.is_gang() && attempt == job.term {
                 job.gang_started = true;
             }
-            let (spec, gb) = (job.spec.clone(), job.spec.image_gb);
-            self.note_image(id, &spec.image, gb);
+            let (image, gb) = (job.image, job.spec.image_gb);
+            self.note_image(id, image, gb);
         }
     }
 
-    fn note_image(&mut self, id: &MachineId, image: &str, gb: f64) {
+    fn note_image(&mut self, id: &MachineId, image: super::fleet::ImageKey, gb: f64) {
         let Some(m) = self.machines.get(id) else { return };
         let cache = self.machine_type(&m.machine_type).map_or(f64::MAX, |t| t.cache_gb);
         if let Some(m) = self.machines.get_mut(id) {
@@ -227,14 +232,13 @@
                 }
                 job.failed_on.clear();
                 job.backoffs = 0;
+                let (image, gb) = (job.image, job.spec.image_gb);
+                self.writes.note(&task.job);
                 if let Some(m) = self.machines.get_mut(id) {
                     m.failed_jobs.clear();
                     m.failures = 0;
                 }
-                let spec = self.jobs.get(&task.job).map(|j| j.spec.clone());
-                if let Some(s) = spec {
-                    self.note_image(id, &s.image, s.image_gb);
-                }
+                self.note_image(id, image, gb);
             }
             ExitReason::Error => self.task_failed(id, task, now),
             ExitReason::NoRoom | ExitReason::Busy => {
@@ -293,7 +297,7 @@
         let Some(m) = self.machines.get_mut(id) else { return };
         let now_id = (report.session, report.seq);
         let absent: Vec<(TaskId, Attempt)> = m
-            .slots
+            .slots()
             .iter()
             .filter(|(k, _)| !listed.contains(k))
             .filter(|(_, s)| match s.state {
@@ -305,19 +309,19 @@
             .map(|(k, _)| k.clone())
             .collect();
         for (task, attempt) in absent {
-            m.slots.remove(&(task.clone(), attempt));
+            let was = m.slots_mut().remove(&(task.clone(), attempt));
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 remove_place(job, &task, id, attempt);
             }
-            self.changed = true;
+            self.changed |= was.is_some_and(|s| s.is_live());
         }
     }
 
     /// Forgets all that was on a machine; returns how many attempts held a place.
     pub(super) fn clear_slots(&mut self, id: &MachineId) -> usize {
         let Some(m) = self.machines.get_mut(id) else { return 0 };
-        let slots = std::mem::take(&mut m.slots);
-        m.orders_changed = false;
+        let slots = std::mem::take(m.slots_mut());
+        self.orders_due.remove(id);
         let mut held = 0;
         for ((task, attempt), slot) in slots {
             if slot.is_live() {
@@ -336,12 +340,14 @@
     /// A job appeared in the ledger of which workers have reported tasks already.
     pub(super) fn adopt_slots(&mut self, id: &JobId, spec: &Rc<JobSpec>) {
         let mut found = Vec::new();
-        for m in self.machines.values_mut() {
-            for ((task, attempt), slot) in &mut m.slots {
+        let strange = |m: &Machine| m.slots().iter().any(|((t, _), s)| t.job == *id && s.spec.is_none());
+        for m in self.machines.values_mut().filter(|m| strange(m)) {
+            let machine = m.id.clone();
+            for ((task, attempt), slot) in m.slots_mut() {
                 if task.job == *id && slot.spec.is_none() {
                     slot.spec = Some(spec.clone());
                     if slot.is_live() {
-                        found.push((m.id.clone(), task.clone(), *attempt));
+                        found.push((machine.clone(), task.clone(), *attempt));
                     }
                 }
             }
@@ -367,26 +373,30 @@
     pub(super) fn stop_slot(&mut self, id: &MachineId, job: &JobId, index: u32, attempt: Attempt, grace_s: f64) {
         let key = (TaskId { job: job.clone(), index }, attempt);
         let Some(m) = self.machines.get_mut(id) else { return };
-        let Some(slot) = m.slots.get_mut(&key) else { return };
+        let Some(slot) = m.slots().get(&key) else { return };
         if slot.state == SlotState::Sent && slot.offered.is_none() && !slot.direct && !slot.doubtful {
-            m.slots.remove(&key);
+            m.slots_mut().remove(&key);
+            self.changed = true;
             return self.place_remove(id, &key.0, attempt);
         }
         let stop = Stop { grace_s };
         // A stop is only ever made harsher.
-        if slot.is_live() && slot.stop.is_none_or(|s| grace_s < s.grace_s) {
+        if slot.is_live()
+            && slot.stop.is_none_or(|s| grace_s < s.grace_s)
+            && let Some(slot) = m.slots_mut().get_mut(&key)
+        {
             slot.stop = Some(stop);
-            m.orders_changed = true;
+            self.orders_due.insert(id.clone());
         }
     }
 
     /// The orders that bring a machine in line; all of them can be repeated.
     fn orders_for(&mut self, id: &MachineId, answers: Option<(u64, u64)>, now: Micros) -> Vec<Order> {
         let Some(m) = self.machines.get_mut(id) else { return Vec::new() };
-        m.orders_changed = false;
+        self.orders_due.remove(id);
         let may_start = m.registered && m.settled(self.token);
         let mut orders = Vec::new();
-        for ((task, attempt), slot) in &mut m.slots {
+        for ((task, attempt), slot) in m.slots_in_flight() {
             let (name, attempt) = (task.to_string(), *attempt);
             let job = self.jobs.get(&task.job);
             match slot.state {
@@ -438,25 +448,34 @@
         orders
     }
 
-    /// Sends new orders at once instead of with the answer to the next report.
+    /// Sends new orders at once instead of with the answer to the next report. Results that are
+    /// merely to be forgotten can wait for that.
     pub(super) fn direct_orders(&mut self, now: Micros) {
-        let due: Vec<MachineId> = self
-            .machines
-            .values()
-            .filter(|m| m.orders_changed && m.phase == Phase::Up && !m.direct_open && now >= m.direct_retry_at)
-            .filter(|m| m.settled(self.token) && m.address.is_some())
-            .map(|m| m.id.clone())
-            .collect();
-        for id in due {
+        let mut later = Vec::new();
+        while let Some(id) = self.orders_due.pop_first() {
+            let Some(m) = self.machines.get(&id) else { continue };
+            // Whatever is not up yet gets its orders with the answer to its first report.
+            if m.phase != Phase::Up || !m.settled(self.token) || m.address.is_none() {
+                continue;
+            }
+            if m.direct_open {
+                // Its answer makes the orders due again.
+                continue;
+            }
+            if now < m.direct_retry_at {
+                later.push(id);
+                continue;
+            }
             let orders: Vec<Order> = self.orders_for(&id, None, now);
             let Some(m) = self.machines.get_mut(&id) else { continue };
             if let Some(address) = m.address
-                && !orders.is_empty()
+                && orders.iter().any(|o| !matches!(o, Order::Forget { .. }))
             {
                 m.direct_open = true;
                 self.actions.push_back(Action::Direct { machine: id, address, session: m.session, orders });
             }
         }
+        self.orders_due.extend(later);
     }
 }
 
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1,8 +1,8 @@
 //! Leadership: one node leads, named by a key on its lease in the state service. It leases all
 //! blocks to itself, takes over the records, and runs the core.
 
-use crate::core::{Action, Batch, BatchError, Core, JobRecord, MachineRecord, Write};
-use crate::ids::{JobId, MachineId, Mark, Token};
+use crate::core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
+use crate::ids::{JobId, Mark, Token};
 use crate::node::{Leading, Node};
 use crate::runtime::{self, Bell, Cancel};
 use crate::state::{FLEET, JOBS, LEADER, StateError, TxnEnd, block_key, end_key, fleet_key, job_key};
@@ -197,17 +197,17 @@
 }
 
 async fn take_over(node: &Rc<Node>, token: Token, granted_at: Micros) -> Option<(Core, u64)> {
-    let (machines, _) = retry(|| node.state.list::<MachineRecord>(FLEET)).await?;
+    let (pages, _) = retry(|| node.state.list::<RegisterPage>(FLEET)).await?;
     let (jobs, revision) = retry(|| node.state.list::<JobRecord>(JOBS)).await?;
-    let register = machines
+    let register = pages
         .into_iter()
         .filter_map(|p| {
-            let id = MachineId::new(p.key.strip_prefix(FLEET)?);
-            let record = p.value.readable().unwrap_or_else(|| {
-                warn!(machine = %id, "unreadable entry in the register");
-                MachineRecord { machine_type: String::new(), zone: String::new(), spot: false }
-            });
-            Some((id, record))
+            let key = p.key.strip_prefix(FLEET)?.to_owned();
+            let page = p.value.readable();
+            if page.is_none() {
+                warn!(page = %key, "unreadable page of the register");
+            }
+            Some((key, p.mark, page))
         })
         .collect();
     let jobs = jobs.into_iter().filter_map(job_of).collect();
@@ -331,7 +331,7 @@
         };
         let token = leading.core.borrow().token;
         let result = commit(&node, token, &batch).await;
-        if result == Err(BatchError::Conflict(Vec::new())) {
+        if result == Err(BatchError::Deposed) {
             // Only our grant itself can have failed: somebody else leads.
             warn!(token = token.0, "a write found our grant gone");
             leading.cancel.cancel();
@@ -347,7 +347,7 @@
 enum Value<'a> {
     Job(&'a JobRecord),
     End(&'a crate::core::EndRecord),
-    Machine(&'a MachineRecord),
+    Page(&'a RegisterPage),
 }
 
 /// Every write is conditional on our grant, so that late ones of old holders fail.
@@ -365,19 +365,24 @@
                 changes.push(Change::Drop { key: job_key(job) });
                 changes.push(Change::Put { key: end_key(job), value: Value::End(end), lease: None });
             }
-            Write::Register { machine, record } => {
-                changes.push(Change::Put { key: fleet_key(machine), value: Value::Machine(record), lease: None });
+            Write::Page { key, mark, page } => {
+                conditions.push(Condition { key: fleet_key(key), mark: *mark });
+                changes.push(match page {
+                    Some(p) => Change::Put { key: fleet_key(key), value: Value::Page(p), lease: None },
+                    None => Change::Drop { key: fleet_key(key) },
+                });
             }
-            Write::Unregister { machine } => changes.push(Change::Drop { key: fleet_key(machine) }),
+            Write::DropPage { key } => changes.push(Change::Drop { key: fleet_key(key) }),
         }
     }
     match node.state.txn(conditions, changes).await {
         Ok(TxnEnd::Applied(mark)) => Ok(mark),
         Ok(TxnEnd::Failed(keys)) => {
             if keys.iter().any(|k| k == LEADER) {
-                return Err(BatchError::Conflict(Vec::new()));
+                return Err(BatchError::Deposed);
             }
-            Err(BatchError::Conflict(keys.iter().filter_map(|k| job_id_of(k)).collect()))
+            let pages = keys.iter().filter_map(|k| k.strip_prefix(FLEET)).map(str::to_owned).collect();
+            Err(BatchError::Conflict { jobs: keys.iter().filter_map(|k| job_id_of(k)).collect(), pages })
         }
         Err(StateError::Refused(s)) => {
             debug!(status = s, "records not written");
@@ -401,11 +406,15 @@
 
 /// Lets the core decide, and does what it wants done.
 async fn act(node: Rc<Node>, leading: Rc<Leading>) {
-    let direct = Rc::new(Direct::default());
+    let direct = Rc::new(Direct::new(node.settings.facts.limits.max_connections));
     loop {
+        let mut next = runtime::now() + Micros::from_millis(250);
         if leading.entitled() {
             let mut core = leading.core.borrow_mut();
-            core.tick(runtime::now());
+            let due = leading.planning(&node, &mut core, |core| {
+                core.tick(runtime::now());
+                core.next_due(runtime::now())
+            });
             let mut actions = Vec::new();
             while let Some(a) = core.next_action() {
                 actions.push(a);
@@ -418,8 +427,9 @@
             if writes {
                 leading.write_bell.ring();
             }
+            next = due;
         }
-        leading.bell.wait_until(runtime::now() + Micros::from_millis(250)).await;
+        leading.bell.wait_until(next).await;
     }
 }
 
@@ -435,7 +445,7 @@
             }
             Action::Delete { machines } => {
                 if node.cloud.delete(machines.clone()).await {
-                    l.core.borrow_mut().deleted(&machines);
+                    l.core.borrow_mut().deleted(&machines, runtime::now());
                 } else {
                     runtime::sleep(Micros::from_secs(2)).await;
                     l.core.borrow_mut().delete_failed(&machines);
--- a/src/node.rs
+++ b/src/node.rs
@@ -54,6 +54,19 @@
         let now = runtime::now();
         now < self.lease_until.get() && now < self.heard_until.get() && !self.cancel.is_cancelled()
     }
+
+    /// Does something with the core that may make a plan, and has the time between plans follow
+    /// from what that cost: a third of the processor's share may go to plans.
+    pub fn planning<T>(&self, node: &Node, core: &mut Core, f: impl FnOnce(&mut Core) -> T) -> T {
+        let (plans, began) = (core.plans(), runtime::now());
+        let out = f(core);
+        if core.plans() != plans {
+            let cost = runtime::now() - began;
+            debug!(cost_us = cost.0, machines = core.machines.len(), jobs = core.jobs.len(), "plan");
+            core.plan_cost(cost, node.settings.facts.limits.cpu_share / 3.0);
+        }
+        out
+    }
 }
 
 impl Node {
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,7 +9,7 @@
 //! | `fleet/ID` | a machine that tasks may be on |
 
 use crate::http::{Client, ClientError, Method, Response};
-use crate::ids::{JobId, MachineId, Mark};
+use crate::ids::{JobId, Mark};
 use crate::runtime;
 use crate::time::Micros;
 use crate::wire::state::{Applied, Change, Condition, Events, Failed, Grant, Granted, Page, Pair, Stored, Txn};
@@ -32,8 +32,8 @@
     format!("end/{id}")
 }
 
-pub fn fleet_key(id: &MachineId) -> String {
-    format!("{FLEET}{id}")
+pub fn fleet_key(page: &str) -> String {
+    format!("{FLEET}{page}")
 }
 
 pub fn block_key(zone: &str) -> String {
--- a/src/status.rs
+++ b/src/status.rs
@@ -25,13 +25,13 @@
             Phase::Up => "up",
             Phase::Lost => "lost",
         };
-        let live = m.slots.values().filter(|s| s.is_live()).count();
+        let live = m.slots().values().filter(|s| s.is_live()).count();
         let _ = writeln!(
             out,
             "machine {} type {} zone {} spot {} {phase} tasks {live} faulty {} returning {}",
             m.id, m.machine_type, m.zone, m.spot, m.faulty, m.deleting
         );
-        for s in m.slots.values().filter(|s| s.is_live()) {
+        for s in m.slots().values().filter(|s| s.is_live()) {
             if let Some(spec) = &s.spec {
                 let sum = used.entry(spec.team.as_str()).or_default();
                 *sum = *sum + Amounts::of_task(spec);
@@ -52,7 +52,7 @@
             j.spec.tasks,
             j.done.count(),
             j.places.len(),
-            j.running,
+            core.running(id),
             unknown.count()
         );
         let _ = if j.waits_for.is_empty() { writeln!(out) } else { writeln!(out, " waits for {}", j.waits_for) };
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -7,7 +7,7 @@
 use crate::time::Micros;
 use crate::wire::worker::{DirectOrders, Order, Orders, Redirect, Report};
 use crate::wire::{decode, encode};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,8 +39,11 @@
         warn!(machine = %report.machine, token = report.token.0, "worker has seen a higher token");
         return Response::empty(503);
     }
-    let answer = core.report(&report, now);
-    leading.bell.ring();
+    let answer = leading.planning(node, &mut core, |core| core.report(&report, now));
+    // A report without news leaves nothing to do.
+    if core.next_due(now) <= now || core.has_actions() {
+        leading.bell.ring();
+    }
     if core.has_writes() {
         leading.write_bell.ring();
     }
@@ -54,21 +57,34 @@
 }
 
 /// Connections to workers.
-#[derive(Default)]
 pub struct Direct {
-    clients: RefCell<BTreeMap<SocketAddr, Rc<Client>>>,
+    /// By address, with the number of their latest use.
+    clients: RefCell<BTreeMap<SocketAddr, (u64, Rc<Client>)>>,
+    uses: Cell<u64>,
+    most: usize,
 }
 
 const DIRECT_LIMIT: Micros = Micros::from_secs(3);
-const MOST_CLIENTS: usize = 256;
 
 impl Direct {
+    /// Of `max_connections` sockets, workers' and users' own connections may take three quarters;
+    /// half of what is left may be kept open to workers.
+    pub fn new(max_connections: usize) -> Direct {
+        Direct { clients: RefCell::default(), uses: Cell::new(0), most: (max_connections / 8).max(8) }
+    }
+
     fn client(&self, addr: SocketAddr) -> Rc<Client> {
         let mut clients = self.clients.borrow_mut();
-        if clients.len() >= MOST_CLIENTS && !clients.contains_key(&addr) {
-            clients.clear();
+        let used = self.uses.get() + 1;
+        self.uses.set(used);
+        if clients.len() >= self.most && !clients.contains_key(&addr) {
+            // The eighth part that was used longest ago goes, so that this is seldom done.
+            let old = used.saturating_sub(self.most as u64 * 7 / 8);
+            clients.retain(|_, (last, _)| *last > old);
         }
-        clients.entry(addr).or_insert_with(|| Rc::new(Client::new(addr))).clone()
+        let entry = clients.entry(addr).or_insert_with(|| (used, Rc::new(Client::new(addr))));
+        entry.0 = used;
+        entry.1.clone()
     }
 
     /// Sends orders to a worker and tells the core how that ended.
--- a/tests/sim/controller.rs
+++ b/tests/sim/controller.rs
@@ -119,7 +119,7 @@
             for (key, e) in &w.store.keys {
                 match (&e.value, key.split_once('/')) {
                     (Value::Job(r), Some((_, id))) => jobs.push((JobId::new(id), r.clone(), Mark(e.mark))),
-                    (Value::Machine(r), Some((_, id))) => register.push((MachineId::new(id), r.clone())),
+                    (Value::Page(p), Some((_, k))) => register.push((k.to_owned(), Mark(e.mark), Some(p.clone()))),
                     _ => {}
                 }
             }
@@ -249,6 +249,7 @@
         let now = self.now;
         let Some(lead) = self.lead(i, process) else { return };
         lead.core.tick(now);
+        let faults = lead.core.audit();
         let mut actions = Vec::new();
         while let Some(a) = lead.core.next_action() {
             actions.push(a);
@@ -256,6 +257,9 @@
         let batch = if lead.writing { None } else { lead.core.next_batch(now) };
         lead.writing |= batch.is_some();
         let token = lead.core.token;
+        for f in faults {
+            self.broke("audit", f);
+        }
         for a in actions {
             self.perform(i, process, token, a);
         }
@@ -284,8 +288,9 @@
                         w.remove_machine(m);
                     }
                     w.send(Host::Cloud, Host::Node(i), move |w| {
+                        let now = w.now;
                         if let Some(l) = w.lead(i, process) {
-                            l.core.deleted(&machines);
+                            l.core.deleted(&machines, now);
                         }
                     });
                 });
@@ -367,10 +372,14 @@
                     apply.push(Change::Drop(format!("job/{job}")));
                     apply.push(Change::Put(format!("end/{job}"), Value::End(*end), None));
                 }
-                Write::Register { machine, record } => {
-                    apply.push(Change::Put(format!("fleet/{machine}"), Value::Machine(record.clone()), None));
+                Write::Page { key, mark, page } => {
+                    when.push((format!("fleet/{key}"), mark.0));
+                    apply.push(match page {
+                        Some(p) => Change::Put(format!("fleet/{key}"), Value::Page(p.clone()), None),
+                        None => Change::Drop(format!("fleet/{key}")),
+                    });
                 }
-                Write::Unregister { machine } => apply.push(Change::Drop(format!("fleet/{machine}"))),
+                Write::DropPage { key } => apply.push(Change::Drop(format!("fleet/{key}"))),
             }
         }
         let sent = self.now;
@@ -382,8 +391,12 @@
                 Err(BatchError::Refused)
             } else {
                 w.store.txn(&when, apply).map(Mark).map_err(|keys| {
+                    if keys.iter().any(|k| k == "leader") {
+                        return BatchError::Deposed;
+                    }
                     let jobs = keys.iter().filter_map(|k| k.strip_prefix("job/")).map(JobId::new).collect();
-                    BatchError::Conflict(jobs)
+                    let pages = keys.iter().filter_map(|k| k.strip_prefix("fleet/")).map(str::to_owned).collect();
+                    BatchError::Conflict { jobs, pages }
                 })
             };
             w.send(Host::State, Host::Node(i), move |w| {
@@ -402,7 +415,7 @@
     fn batch_over(&mut self, i: usize, process: u64, batch: Batch, result: Result<Mark, BatchError>) {
         let now = self.now;
         let Some(l) = self.lead(i, process) else { return };
-        if result == Err(BatchError::Conflict(Vec::new())) {
+        if result == Err(BatchError::Deposed) {
             self.nodes[i].lead = None;
             return self.seek(i, process, false);
         }
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -1,7 +1,7 @@
 //! The state service.
 
 use super::World;
-use hopyoke::core::{EndRecord, JobRecord, MachineRecord};
+use hopyoke::core::{EndRecord, JobRecord, RegisterPage};
 use hopyoke::time::Micros;
 use std::collections::BTreeMap;
 
@@ -9,7 +9,7 @@
 pub enum Value {
     Job(JobRecord),
     End(EndRecord),
-    Machine(MachineRecord),
+    Page(RegisterPage),
     Holder(usize),
 }
 
@@ -54,6 +54,10 @@
                         let size = serde_json::to_vec(record).map_or(0, |v| v.len());
                         assert!(size <= 8192, "a record of {size} bytes was written");
                     }
+                    if let Value::Page(page) = &value {
+                        let size = serde_json::to_vec(page).map_or(0, |v| v.len());
+                        assert!(size <= 8192, "a page of {size} bytes was written");
+                    }
                     self.log.push((mark, key.clone(), false));
                     self.keys.insert(key, Entry { value, mark, lease });
                 }
