--- a/src/api.rs
+++ b/src/api.rs
@@ -258,12 +258,7 @@
     if let Some(end) = node.finals.get(&id) {
         return Ok(finished(&id, end));
     }
-    let record = JobRecord {
-        spec: Rc::new(spec),
-        accepted_us: runtime::time_of_day().0,
-        done: Default::default(),
-        term: Default::default(),
-    };
+    let record = JobRecord::accepted(spec, runtime::time_of_day().0);
     let conditions =
         vec![Condition { key: job_key(&id), mark: Mark(0) }, Condition { key: end_key(&id), mark: Mark(0) }];
     let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -146,7 +146,13 @@
     /// A deletion is wanted or under way.
     pub deleting: bool,
     pub delete_sent: bool,
+    /// Overdue and no longer listed by the cloud: most likely gone.
+    pub suspect: bool,
+    /// The latest direct order to it got no answer, and no report has come since.
+    pub unreachable: bool,
     pub direct_open: bool,
+    /// The direct order under way is a question after a takeover.
+    pub probing: bool,
     pub direct_retry_at: Micros,
 }
 
@@ -178,7 +184,10 @@
             registered: false,
             deleting: false,
             delete_sent: false,
+            suspect: false,
+            unreachable: false,
             direct_open: false,
+            probing: false,
             direct_retry_at: Micros::ZERO,
         }
     }
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -18,9 +18,31 @@
     pub accepted_us: u64,
     #[serde(default)]
     pub done: Ranges,
-    /// The attempt of the latest gang placement; 0: none.
+    /// The attempt of the latest gang placement, or of another job's first start; 0: none.
     #[serde(default)]
     pub term: Attempt,
+    /// `term` is written before the first start of any job, not of gangs alone. Records of
+    /// earlier versions lack this.
+    #[serde(default)]
+    pub marks_start: bool,
+}
+
+impl JobRecord {
+    /// The record of a job that was accepted just now.
+    pub fn accepted(spec: JobSpec, accepted_us: u64) -> JobRecord {
+        JobRecord {
+            spec: Rc::new(spec),
+            accepted_us,
+            done: Ranges::default(),
+            term: Attempt::default(),
+            marks_start: true,
+        }
+    }
+
+    /// Some holder may have told a worker to start one of its tasks.
+    pub fn may_have_started(&self) -> bool {
+        self.term.0 != 0 || !self.marks_start
+    }
 }
 
 /// The record of a finished job, under `end/ID`; kept for good.
@@ -40,12 +62,13 @@
     pub accepted_us: u64,
     /// Of the record as last seen.
     pub mark: Mark,
-    /// Accepted before this leader's token: an earlier holder may have started its tasks.
+    /// An earlier holder may have started its tasks.
     pub inherited: bool,
+    pub marks_start: bool,
     pub done: Ranges,
     /// What the record says is done: only this may be reaped from workers.
     pub recorded: Ranges,
-    /// Attempt of the current gang placement.
+    /// Attempt of the current gang placement, or of another job's first start.
     pub term: Attempt,
     pub recorded_term: Attempt,
     /// Some task of the current gang placement has been seen running.
@@ -70,6 +93,7 @@
 
 impl Job {
     pub fn new(record: JobRecord, mark: Mark, inherited: bool, now: Micros) -> Job {
+        let inherited = inherited && record.may_have_started();
         let done = record.done.tidy(record.spec.tasks);
         Job {
             task: Amounts::of_task(&record.spec),
@@ -77,6 +101,7 @@
             accepted_us: record.accepted_us,
             mark,
             inherited,
+            marks_start: record.marks_start,
             recorded: done.clone(),
             done,
             term: record.term,
@@ -100,6 +125,7 @@
             accepted_us: self.accepted_us,
             done: self.done.clone(),
             term: self.term,
+            marks_start: self.marks_start,
         }
     }
 
@@ -125,6 +151,12 @@
         !self.writing && (self.done != self.recorded || self.term != self.recorded_term)
     }
 
+    /// The record says that this attempt may be started. (A new leader takes a job without a
+    /// recorded start for one that nobody has started. Guards `ran_twice`.)
+    pub fn may_start(&self, attempt: Attempt) -> bool {
+        if self.is_gang() { self.recorded_term >= attempt } else { self.recorded_term.0 != 0 }
+    }
+
     /// Failed on several machines: the fault is its own most likely.
     pub fn suspect(&self) -> bool {
         self.failed_on.len() >= 3
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -172,6 +172,9 @@
     /// Machines whose orders have changed since they were last sent.
     orders_due: BTreeSet<MachineId>,
     register: register::Register,
+    /// Machines to be asked what is on them, after a takeover.
+    probes: VecDeque<MachineId>,
+    open_probes: usize,
     move_cursor: usize,
     /// No replica is moved before this.
     next_move: Micros,
@@ -212,6 +215,8 @@
             next_sweep: Micros::ZERO,
             orders_due: BTreeSet::new(),
             register: register::Register::default(),
+            probes: VecDeque::new(),
+            open_probes: 0,
             move_cursor: 0,
             next_move: Micros::ZERO,
         };
@@ -223,6 +228,8 @@
                 let Some(p) = &page else { continue };
                 let mut m = Machine::new(id.clone(), p.machine_type.clone(), p.zone.clone(), p.spot, now);
                 m.registered = true;
+                m.address = p.machines.get(&id).and_then(|a| a.parse().ok());
+                core.probes.push_back(id.clone());
                 // An earlier holder may have answered it until just before our grant.
                 m.lease_end = now + core.cfg.lease_bound();
                 core.machines.insert(id, m);
@@ -298,12 +305,13 @@
 
     /// Something waits to be done or sent.
     pub fn has_actions(&self) -> bool {
-        !self.actions.is_empty() || !self.orders_due.is_empty()
+        !self.actions.is_empty() || !self.orders_due.is_empty() || self.may_probe()
     }
 
     /// Does what is due; to be called after events and at least every half second.
     pub fn tick(&mut self, now: Micros) {
         self.settle(now);
+        self.probe(now);
         self.direct_orders(now);
     }
 
@@ -442,14 +450,26 @@
             return;
         }
         // One that the cloud no longer lists is most likely gone: the list proves nothing, but the
-        // deletion does.
+        // deletion does. It is asked first, and given up if it does not answer either.
+        let overdue_after = Micros(self.cfg.report.0 * 5 / 4) + Micros::from_secs(1);
         let unlisted_after = self.cfg.report.times(2);
         let unlisted = |m: &Machine| self.listed.as_ref().is_some_and(|l| !l.contains(&m.id));
         let silent: Vec<MachineId> = watched
             .iter()
-            .filter(|m| now >= since(m) + if unlisted(m) { unlisted_after } else { silent_after })
+            .filter(|m| {
+                let quiet = now.saturating_sub(since(m));
+                quiet >= silent_after || unlisted(m) && (m.unreachable || quiet >= unlisted_after)
+            })
             .map(|m| m.id.clone())
             .collect();
+        let overdue = |m: &&&Machine| !m.suspect && unlisted(m) && now >= m.last_seen + overdue_after;
+        let suspects: Vec<MachineId> = watched.iter().filter(overdue).map(|m| m.id.clone()).collect();
+        for id in suspects {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.suspect = true;
+                self.probes.push_back(id);
+            }
+        }
         for id in silent {
             if let Some(m) = self.machines.get_mut(&id) {
                 m.deleting = true;
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -181,14 +181,12 @@
         // A task on a machine whose job we don't know may belong to any team: until it is gone
         // (it has been told to stop) nothing that counts against a limit is started.
         let strange = self.machines.values_mut().any(|m| m.load(&self.cfg.teams).strange);
+        let unbounded = !self.charge_unknown(&mut plan);
         for id in order {
             let Some(job) = self.jobs.get(&id) else { continue };
             let why = if now < job.hold_until {
                 "its backoff"
-            } else if (strange || self.recovering()) && self.limited(&job.spec.team) {
-                // While recovering, machines that have not reported may hold tasks of jobs that
-                // were cancelled under an earlier holder; no record names them any more, but
-                // they use their team's quota. (Guards `quota`; scenario cancelled_before_takeover.)
+            } else if (strange || unbounded) && self.limited(&job.spec.team) {
                 "recovery"
             } else if job.is_gang() {
                 self.place_gang(&id, &mut plan)
@@ -230,7 +228,6 @@
         };
         plan.demand = vec![0; plan.offers.len()];
         self.fill_bins(&mut plan, now);
-        self.charge_unknown(&mut plan);
         // Bins without room even for the smallest waiting task need no second look.
         let least = order.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.task).reduce(|a, b| Amounts {
             cpus: a.cpus.min(b.cpus),
@@ -260,19 +257,24 @@
         self.cfg.zones.iter().position(|z| z == name).unwrap_or(self.cfg.zones.len())
     }
 
-    /// While recovering, tasks that nobody has reported yet may use their team's quota: all that
-    /// earlier holders may have started. (Guards `quota`.)
-    fn charge_unknown(&self, plan: &mut Plan) {
+    /// While recovering, machines that have not reported may hold tasks of any team: of its
+    /// unfinished jobs, and of jobs that were cancelled under an earlier holder, which no record
+    /// names any more. They hold no more than the machines have, for workers refuse what has no
+    /// room; so that is charged to every team. False if even that is not known.
+    /// (Guards `quota`; scenarios cancelled_before_takeover, recovery_charges_capacity.)
+    fn charge_unknown(&self, plan: &mut Plan) -> bool {
         if !self.recovering() {
-            return;
+            return true;
         }
-        for job in self.jobs.values().filter(|j| j.inherited) {
-            let missing = job.done.missing(job.spec.tasks).take(self.cfg.window());
-            let unknown = missing.filter(|&i| self.check(job, i) == Verdict::Unknown).count();
-            if let Some(team) = self.team_index(&job.spec.team) {
-                plan.used[team] = plan.used[team] + job.task.times(unknown as f64);
-            }
+        let mut most = Amounts::default();
+        for m in self.machines.values().filter(|m| m.registered && self.unaccounted(m)) {
+            let Some(t) = self.machine_type(&m.machine_type) else { return false };
+            most = most + Amounts::of_type(t);
         }
+        for used in &mut plan.used {
+            *used = *used + most;
+        }
+        !self.register.blind()
     }
 
     /// Jobs with work that has no place, in the order in which they get room.
@@ -779,7 +781,13 @@
 
     /// Puts an attempt on a machine; its start order goes out with the next orders.
     fn start(&mut self, s: Start, now: Micros) {
-        let Some(spec) = self.jobs.get(&s.job).map(|j| j.spec.clone()) else { return };
+        let Some(job) = self.jobs.get_mut(&s.job) else { return };
+        if job.term.0 == 0 {
+            // Its first start is recorded before it is commanded.
+            job.term = s.attempt;
+            self.writes.note(&s.job);
+        }
+        let spec = job.spec.clone();
         let Some(m) = self.machines.get_mut(&s.machine) else { return };
         let task = TaskId { job: s.job, index: s.index };
         let slot = Slot::new(SlotState::Sent, Some(spec), now);
--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -52,9 +52,11 @@
 /// Bodies are limited to 64 KiB; a batch stays well below.
 const MOST_BYTES: usize = 40 * 1024;
 
-/// Results of single tasks wait this long for others of their job, while the rate is scarce:
-/// until they are recorded their workers keep reporting them.
-const GATHER: Micros = Micros::from_secs(2);
+/// Results of single tasks wait for others of their job, the longer the scarcer the rate is: until
+/// they are recorded their workers keep reporting them. First starts and ends must not wait for them.
+const LEAST_GATHER: Micros = Micros::from_secs(1);
+const GATHER: Micros = Micros::from_secs(4);
+const MOST_GATHER: Micros = Micros::from_secs(12);
 
 impl Writes {
     pub fn new(cfg: &Config, now: Micros) -> Writes {
@@ -112,11 +114,11 @@
         let w = &mut self.writes;
         w.budget = (w.budget + rate * (now - w.refilled).as_secs_f64()).min(most_budget);
         w.refilled = now;
-        if now < w.not_before || w.budget < 2.0 {
+        if now < w.not_before || w.budget < 1.0 {
             return None;
         }
         let most = (w.budget as usize).min(self.cfg.txn_ops);
-        let ample = w.budget >= most_budget * 0.75;
+        let (ample, fair) = (w.budget >= most_budget * 0.75, w.budget >= most_budget * 0.5);
         let mut draft = Draft { writes: Vec::new(), ops: 0, bytes: 0, most };
         // Gangs' terms first: their tasks wait for it. Then machines, which wait for their first
         // task, then whatever completes, then what can be gathered.
@@ -135,7 +137,10 @@
                 0
             } else if job.is_done() {
                 1
-            } else if ample || now >= since + GATHER {
+            } else if (ample && now >= since + LEAST_GATHER)
+                || (fair && now >= since + GATHER)
+                || now >= since + MOST_GATHER
+            {
                 2
             } else {
                 return true;
@@ -191,7 +196,8 @@
             }
             let (counter, token) = (&mut self.counter, self.token);
             let kind = (m.machine_type.as_str(), m.zone.as_str(), m.spot);
-            self.register.add(id, kind, self.cfg.value_bytes, || page_key(counter, token));
+            let address = m.address.map(|a| a.to_string()).unwrap_or_default();
+            self.register.add(id, address, kind, self.cfg.value_bytes, || page_key(counter, token));
         }
         while draft.has_room(1, self.cfg.value_bytes) || (draft.writes.is_empty() && draft.most >= 1) {
             let Some((key, mark, page)) = self.register.next(removals) else { return };
@@ -214,13 +220,14 @@
                     job.writing = false;
                     match &result {
                         Ok(mark) => {
+                            let first_start = job.recorded_term.0 == 0;
                             if *mark > job.mark {
                                 job.mark = *mark;
                                 job.recorded = record.done;
                                 job.recorded_term = record.term;
                             }
-                            // A gang may start now; results are reaped with the next answers.
-                            if job.is_gang() {
+                            // It may start now; results are reaped with the next answers.
+                            if first_start || job.is_gang() {
                                 let places = job.places.values().flatten().map(|(m, _)| m.clone());
                                 self.orders_due.extend(places);
                             }
--- a/src/core/register.rs
+++ b/src/core/register.rs
@@ -15,13 +15,17 @@
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
-    pub machines: BTreeSet<MachineId>,
+    /// With their workers' addresses, at which a new leader can ask them.
+    pub machines: BTreeMap<MachineId, String>,
 }
 
+/// An address with its port, quotes and separators: `"255.255.255.255:65535":,""`.
+const ADDRESS_BYTES: usize = 30;
+
 impl RegisterPage {
     /// Bytes that it takes as a value, at the most.
     pub fn bytes(&self) -> usize {
-        let names: usize = self.machines.iter().map(|m| m.as_str().len() + 3).sum();
+        let names: usize = self.machines.keys().map(|m| m.as_str().len() + ADDRESS_BYTES).sum();
         names + self.machine_type.len() + self.zone.len() + 80
     }
 }
@@ -55,7 +59,7 @@
             self.unreadable.push(key);
             return Vec::new();
         };
-        let machines: Vec<MachineId> = content.machines.iter().cloned().collect();
+        let machines: Vec<MachineId> = content.machines.keys().cloned().collect();
         self.at.extend(machines.iter().map(|m| (m.clone(), key.clone())));
         self.pages.insert(key, Page { content, mark, writing: false, added: false, removed: false });
         machines
@@ -94,16 +98,19 @@
     pub fn add(
         &mut self,
         id: MachineId,
+        address: String,
         kind: (&str, &str, bool),
         value_bytes: usize,
         new_key: impl FnOnce() -> String,
     ) {
         let of_kind = |c: &RegisterPage| (c.machine_type.as_str(), c.zone.as_str(), c.spot) == kind;
-        let room = |p: &&mut Page| of_kind(&p.content) && p.content.bytes() + id.as_str().len() + 64 < value_bytes;
+        let room = |p: &&mut Page| {
+            of_kind(&p.content) && p.content.bytes() + id.as_str().len() + ADDRESS_BYTES < value_bytes
+        };
         let found = self.pages.iter_mut().find(|(_, p)| room(p));
         let key = match found {
             Some((key, page)) => {
-                page.content.machines.insert(id.clone());
+                page.content.machines.insert(id.clone(), address);
                 page.added = true;
                 key.clone()
             }
@@ -113,7 +120,7 @@
                     machine_type: kind.0.to_owned(),
                     zone: kind.1.to_owned(),
                     spot: kind.2,
-                    machines: BTreeSet::from([id.clone()]),
+                    machines: BTreeMap::from([(id.clone(), address)]),
                 };
                 let page = Page { content, mark: Mark(0), writing: false, added: true, removed: false };
                 self.pages.insert(key.clone(), page);
@@ -167,7 +174,7 @@
             self.pages.remove(key);
         }
         content
-            .map(|c| c.machines.iter().filter(|m| self.at.contains_key(*m)).cloned().collect())
+            .map(|c| c.machines.keys().filter(|m| self.at.contains_key(*m)).cloned().collect())
             .unwrap_or_default()
     }
 
@@ -188,7 +195,7 @@
         old.writing = false;
         let content = old.content.clone();
         let new = new_key();
-        for m in &content.machines {
+        for m in content.machines.keys() {
             self.at.insert(m.clone(), new.clone());
         }
         self.pages.remove(key);
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -152,6 +152,7 @@
     /// The cloud confirmed a deletion: the machines and everything on them are gone.
     pub fn deleted(&mut self, ids: &[MachineId], now: Micros) {
         for id in ids {
+            self.probe_over(id);
             self.clear_slots(id);
             self.machines.remove(id);
             self.register.remove(id);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -39,6 +39,7 @@
 
     /// A worker answered direct orders (or refused them) with its report.
     pub fn direct_answer(&mut self, machine: &MachineId, executed: bool, report: Option<&Report>, now: Micros) {
+        self.probe_over(machine);
         if let Some(m) = self.machines.get_mut(machine) {
             m.direct_open = false;
             let answered = report.map(|r| (r.session, r.seq));
@@ -48,7 +49,8 @@
                     slot.offered = answered;
                 }
             }
-            if !executed {
+            // A probe that met another session than we believed can be repeated at once.
+            if !executed && report.is_none_or(|r| r.session == m.session) {
                 m.direct_retry_at = now + Micros::from_millis(500);
             }
         }
@@ -57,6 +59,10 @@
         {
             self.merge(r, false, now);
         }
+        // The session was another than we believed; now we know it.
+        if self.recovering && self.machines.get(machine).is_some_and(|m| !m.settled(self.token)) {
+            self.probes.push_back(machine.clone());
+        }
         // What changed meanwhile, or was refused, is still to be sent.
         self.orders_due.insert(machine.clone());
     }
@@ -64,9 +70,14 @@
     /// Direct orders got no answer. If they may have been sent they may be executed late, at any
     /// time of the session.
     pub fn direct_failed(&mut self, machine: &MachineId, maybe_sent: bool, now: Micros) {
+        self.probe_over(machine);
         if let Some(m) = self.machines.get_mut(machine) {
             m.direct_open = false;
             m.direct_retry_at = now + Micros::from_secs(3);
+            m.unreachable = true;
+            if self.recovering && !m.settled(self.token) {
+                self.probes.push_back(machine.clone());
+            }
             for (_, slot) in m.slots_in_flight().filter(|(_, s)| s.direct) {
                 slot.direct = false;
                 slot.doubtful |= maybe_sent;
@@ -107,6 +118,8 @@
             self.register.want(id);
         }
         m.last_seen = now;
+        m.unreachable = false;
+        m.suspect = false;
         m.address = report.address.parse().ok();
         m.spot = report.spot;
         m.phase = Phase::Up;
@@ -414,9 +427,9 @@
                     }
                 }
                 SlotState::Sent => {
-                    let gang_recorded = job.is_none_or(|j| !j.is_gang() || j.recorded_term >= attempt);
+                    let recorded = job.is_none_or(|j| j.may_start(attempt));
                     match slot.stop {
-                        None if may_start && gang_recorded => {
+                        None if may_start && recorded => {
                             match answers {
                                 Some(a) => slot.offered = Some(a),
                                 None => slot.direct = true,
@@ -448,6 +461,44 @@
         orders
     }
 
+    /// After a takeover, registered machines are asked at once what is on them, instead of waiting
+    /// until each finds us with a report: an empty direct order shows them our token, and its
+    /// answer is their report. (A machine that is known to have seen our token is accounted for.)
+    /// Machines that are overdue and no longer listed are asked too, before they are given up.
+    pub(super) fn probe(&mut self, now: Micros) {
+        for _ in 0..self.probes.len() {
+            if !self.may_probe() {
+                return;
+            }
+            let Some(id) = self.probes.pop_front() else { return };
+            let Some(m) = self.machines.get_mut(&id) else { continue };
+            let wanted = m.phase != Phase::Lost && !m.deleting && (m.suspect || !m.settled(self.token));
+            let Some(address) = m.address.filter(|_| wanted) else { continue };
+            if m.direct_open || now < m.direct_retry_at {
+                self.probes.push_back(id);
+                continue;
+            }
+            m.direct_open = true;
+            m.probing = true;
+            self.open_probes += 1;
+            // Most machines are in their first session; another is told by the refusal.
+            let session = m.session.max(1);
+            self.actions.push_back(Action::Direct { machine: id, address, session, orders: Vec::new() });
+        }
+    }
+
+    pub(super) fn may_probe(&self) -> bool {
+        !self.probes.is_empty() && self.open_probes < MOST_PROBES
+    }
+
+    pub(super) fn probe_over(&mut self, id: &MachineId) {
+        if let Some(m) = self.machines.get_mut(id)
+            && std::mem::take(&mut m.probing)
+        {
+            self.open_probes -= 1;
+        }
+    }
+
     /// Sends new orders at once instead of with the answer to the next report. Results that are
     /// merely to be forgotten can wait for that.
     pub(super) fn direct_orders(&mut self, now: Micros) {
@@ -479,6 +530,10 @@
     }
 }
 
+/// Machines asked at the same time: each takes a socket, and silent ones hold theirs for the
+/// whole time limit, so there must be enough for the others to pass them.
+const MOST_PROBES: usize = 96;
+
 fn remove_place(job: &mut super::Job, task: &TaskId, id: &MachineId, attempt: Attempt) {
     if let Some(places) = job.places.get_mut(&task.index) {
         places.retain(|(m, a)| !(m == id && *a == attempt));
--- a/tests/sim/controller.rs
+++ b/tests/sim/controller.rs
@@ -28,6 +28,8 @@
     /// Number of the watch that is open.
     watch: u64,
     writing: bool,
+    /// When it was granted its token, until its recovery is over.
+    recovers_since: Option<Micros>,
 }
 
 const WATCH: Micros = Micros::from_secs(2);
@@ -133,7 +135,16 @@
                 let mut core = Core::new(w.cfg.clone(), Token(token), jobs, register, at);
                 core.set_catalog(w.types.clone());
                 let heard_until = w.now + WATCH + w.ttl;
-                let lead = Lead { core, lease, until, heard_until, since: revision, watch: 0, writing: false };
+                let lead = Lead {
+                    core,
+                    lease,
+                    until,
+                    heard_until,
+                    since: revision,
+                    watch: 0,
+                    writing: false,
+                    recovers_since: Some(at),
+                };
                 w.nodes[i].lead = Some(lead);
                 w.nodes[i].leader_seen = Some(i);
                 w.renew(i, process);
@@ -249,6 +260,7 @@
         let now = self.now;
         let Some(lead) = self.lead(i, process) else { return };
         lead.core.tick(now);
+        let recovered = if lead.core.recovering() { None } else { lead.recovers_since.take() };
         let faults = lead.core.audit();
         let mut actions = Vec::new();
         while let Some(a) = lead.core.next_action() {
@@ -257,6 +269,9 @@
         let batch = if lead.writing { None } else { lead.core.next_batch(now) };
         lead.writing |= batch.is_some();
         let token = lead.core.token;
+        if let Some(since) = recovered {
+            self.longest_recovery = self.longest_recovery.max(now - since);
+        }
         for f in faults {
             self.broke("audit", f);
         }
@@ -520,12 +535,7 @@
                 return;
             }
             let Some(job) = w.jobs.get(&id) else { return };
-            let record = JobRecord {
-                spec: job.spec.clone(),
-                accepted_us: w.now.0,
-                done: Default::default(),
-                term: Default::default(),
-            };
+            let record = JobRecord::accepted((*job.spec).clone(), w.now.0);
             let when = [(format!("job/{id}"), 0), (format!("end/{id}"), 0)];
             let _ = w.store.txn(&when, vec![Change::Put(format!("job/{id}"), Value::Job(record), None)]);
             w.send(Host::State, Host::Node(i), move |w| {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -94,6 +94,8 @@
     pub jobs: BTreeMap<JobId, Truth>,
     pub broken: Vec<String>,
     pub leaders: u32,
+    /// From a grant until all registered machines were accounted for.
+    pub longest_recovery: Micros,
     pub trace: bool,
 }
 
@@ -131,6 +133,7 @@
             jobs: BTreeMap::new(),
             broken: Vec::new(),
             leaders: 0,
+            longest_recovery: Micros::ZERO,
             trace: std::env::var_os("SIM_TRACE").is_some(),
         }
     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -104,6 +104,7 @@
                 gpus_max: get("gpus_max"),
             });
         }
+        "report" => w.cfg.report = secs(word(&mut it)),
         "lease" => w.cfg.lease = secs(word(&mut it)),
         "cancel_s" => w.cancel_s = secs(word(&mut it)),
         "capacity" => {
@@ -282,6 +283,10 @@
         let ok = if what == "most" { w.machines.len() <= n } else { w.machines.len() == n };
         return ok.then_some(()).ok_or(format!("{} machines", w.machines.len()));
     }
+    if id.as_str() == "recovery" {
+        let ok = what == "most" && w.longest_recovery <= secs(word(it));
+        return ok.then_some(()).ok_or(format!("a recovery took {:.1} s", w.longest_recovery.as_secs_f64()));
+    }
     let job = w.jobs.get(&id).ok_or("no such job")?;
     match what {
         "done" => {
