--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -22,7 +22,7 @@
 
 impl Cloud {
     pub fn new(addr: SocketAddr, rps: f64) -> Cloud {
-        Cloud { client: Client::new(addr), rps: rps * 0.6, next: Cell::new(Micros::ZERO) }
+        Cloud { client: Client::new(addr), rps: rps * 0.85, next: Cell::new(Micros::ZERO) }
     }
 
     /// Spaces requests out; every caller gets the next free moment. A burst of one second's
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -175,7 +175,11 @@
     /// Machines to be asked what is on them, after a takeover.
     probes: VecDeque<MachineId>,
     open_probes: usize,
-    move_cursor: usize,
+    open_deletes: usize,
+    /// Seconds that moves of replicas may still take, and up to when they were earned.
+    move_budget: f64,
+    moves_earned: Micros,
+    next_fleet_line: Micros,
     /// No replica is moved before this.
     next_move: Micros,
 }
@@ -217,7 +221,10 @@
             register: register::Register::default(),
             probes: VecDeque::new(),
             open_probes: 0,
-            move_cursor: 0,
+            open_deletes: 0,
+            move_budget: 0.0,
+            moves_earned: now,
+            next_fleet_line: Micros::ZERO,
             next_move: Micros::ZERO,
         };
         for (id, record, mark) in jobs {
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -11,7 +11,7 @@
 use super::Core;
 use super::amounts::{Amounts, Team};
 use super::check::Verdict;
-use super::fleet::{ImageKey, Phase, Slot, SlotState};
+use super::fleet::{ImageKey, Machine, Phase, Slot, SlotState};
 use super::rent::{Demand, Offer};
 use crate::ids::{Attempt, JobId, MachineId, TaskId};
 use crate::time::Micros;
@@ -20,7 +20,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use tracing::info;
+use tracing::{debug, info};
 
 /// One attempt of one task.
 type TaskKey = (TaskId, Attempt);
@@ -102,6 +102,13 @@
 /// Each search looks at every machine with lesser work; the next plan goes on with the rest.
 const MOST_PREEMPT_SEARCHES: usize = 32;
 
+/// The share of all replicas' time that may be lost to moving them.
+const MOVE_SHARE: f64 = 0.0015;
+/// What a move costs a replica whose image is there, in seconds.
+const MOVE_S: f64 = 1.5;
+/// Machines looked at for draining in one round.
+const MOST_DRAIN_LOOKS: usize = 64;
+
 /// What the placement of one job must look at.
 #[derive(Clone)]
 struct Needs {
@@ -197,6 +204,10 @@
                 job.waits_for = why;
             }
         }
+        if now >= self.next_fleet_line {
+            self.next_fleet_line = now + Micros::from_secs(5);
+            plan.tell();
+        }
         for s in std::mem::take(&mut plan.starts) {
             self.start(s, now);
         }
@@ -621,57 +632,71 @@
         }
     }
 
-    /// Moves replicas that keep a machine half empty to ones that have room and their image: the
-    /// machine can then hold a gang, or be returned. A few at a time, and none that has just
-    /// started. (Moving replicas to drain a machine is allowed.)
+    /// Moves replicas off machines that hold little else than free room, to ones that are fuller:
+    /// the machine can then hold a gang, or be returned. A move costs the replica a moment, so a
+    /// small share of all replicas' time is what moves may take. (Moving replicas to drain a
+    /// machine is allowed.)
     fn consolidate(&mut self, plan: &Plan, now: Micros) {
+        let replicas: u32 = plan.bins.iter().map(|b| b.replicas).sum();
+        let earned = f64::from(replicas) * MOVE_SHARE * (now - self.moves_earned).as_secs_f64();
+        self.moves_earned = now;
+        // At most what 20 s earn is kept, but enough for one move.
+        let most = (f64::from(replicas) * MOVE_SHARE * 20.0).max(MOVE_S + 30.0);
+        self.move_budget = (self.move_budget + earned).min(most);
         if now < self.next_move || self.recovering() {
             return;
         }
-        self.next_move = now + Micros::from_secs(4);
-        let settled = Micros::from_secs(40);
-        let host = |b: &Bin| b.ready && b.replicas > 0 && b.free != Amounts::default();
-        let hosts: Vec<usize> = (0..plan.bins.len()).filter(|&i| host(&plan.bins[i])).collect();
-        let mut taken: Vec<usize> = Vec::new();
+        self.next_move = now + Micros::from_secs(2);
+        let usage =
+            |b: &Bin| 1.0 - (b.free.gpus + b.free.cpus) / (plan.kinds[b.kind].gpus + plan.kinds[b.kind].cpus);
+        let room = |b: &Bin| b.free.gpus > 0.0 || plan.kinds[b.kind].gpus == 0.0 && b.free.cpus > 0.0;
+        let mut hosts: Vec<(f64, usize)> = plan
+            .bins
+            .iter()
+            .enumerate()
+            .filter(|(_, b)| b.ready && b.replicas > 0 && room(b))
+            .map(|(i, b)| (usage(b), i))
+            .collect();
+        hosts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free: Vec<Amounts> = hosts.iter().map(|h| plan.bins[h.1].free).collect();
         let mut moves = Vec::new();
-        // One move for each 64 machines: a move costs the replica a moment.
-        let most = 1 + self.machines.len() / 64;
-        // Each round looks at some, the next round at the next: each look searches all hosts.
-        let searched = hosts.len().min(64);
-        self.move_cursor = (self.move_cursor + searched) % hosts.len().max(1);
-        for &from in hosts.iter().cycle().skip(self.move_cursor).take(searched) {
-            if moves.len() >= most {
-                break;
-            }
-            let bin = &plan.bins[from];
+        // Each look searches all hosts; what is not reached now is reached when others have gone.
+        for from in 0..hosts.len().min(MOST_DRAIN_LOOKS) {
+            let bin = &plan.bins[hosts[from].1];
             let Some(m) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else { continue };
-            if m.kept_load().is_none_or(|l| l.live != 1 || l.replicas != 1) || taken.contains(&from) {
-                continue;
-            }
-            let Some(((task, attempt), slot)) = m.slots().iter().find(|(_, s)| s.is_live()) else { continue };
-            let ran = slot.running_since.is_some_and(|t| now >= t + settled);
-            if !ran || slot.stop.is_some() {
+            let Some(drain) = self.drain_of(m, now) else {
                 continue;
+            };
+            let mut targets = Vec::new();
+            let mut cost = 0.0;
+            for (task, attempt) in drain {
+                let Some(mut needs) = self.needs(&task.job) else { break };
+                needs.zones[bin.zone] = needs.zones[bin.zone].saturating_sub(1);
+                let fits = |i: usize| {
+                    let b = &plan.bins[hosts[i].1];
+                    needs.task.fits_in(&free[i]) && self.allowed(&needs, b) && needs.zone_allows(b.zone)
+                };
+                let image = |i: &usize| plan.has_image(&plan.bins[hosts[*i].1], needs.image);
+                // The fullest first. Each drained machine is one machine less, so this comes to an end.
+                let fuller = || (from + 1..hosts.len()).rev();
+                let Some(to) = fuller().filter(image).find(|&i| fits(i)).or_else(|| fuller().find(|&i| fits(i)))
+                else {
+                    break;
+                };
+                let fetch = self.types[plan.bins[hosts[to].1].kind].fetch_gb_per_s;
+                cost += MOVE_S + if image(&to) { 0.0 } else { needs.spec.image_gb / fetch.max(0.05) };
+                free[to] = free[to] - needs.task;
+                targets.push((to, needs.task, (m.id.clone(), task, attempt, needs.spec.save_s)));
             }
-            let Some(mut needs) = self.needs(&task.job) else { continue };
-            needs.zones[bin.zone] = needs.zones[bin.zone].saturating_sub(1);
-            let size = |free: &Amounts| free.holds(&needs.task);
-            let left = size(&(plan.kinds[bin.kind] - needs.task));
-            let better = hosts.iter().copied().find(|&i| {
-                let b = &plan.bins[i];
-                i != from
-                    && needs.task.fits_in(&b.free)
-                    // Only from the emptier to the fuller, or moves would never end.
-                    && size(&b.free) <= left
-                    && !taken.contains(&i)
-                    && plan.has_image(b, needs.image)
-                    && self.allowed(&needs, b)
-                    && needs.zone_allows(b.zone)
-            });
-            if let Some(to) = better {
-                taken.push(to);
-                taken.push(from);
-                moves.push((m.id.clone(), task.clone(), *attempt, needs.spec.save_s));
+            if targets.len() as u32 == bin.replicas && cost <= self.move_budget {
+                self.move_budget -= cost;
+                // Nothing is moved to a machine that is being drained.
+                free[from] = Amounts::default();
+                moves.extend(targets.into_iter().map(|t| t.2));
+            } else {
+                for (to, task, _) in targets {
+                    free[to] = free[to] + task;
+                }
             }
         }
         for (machine, task, attempt, grace) in moves {
@@ -680,6 +705,19 @@
         }
     }
 
+    /// The replicas whose leaving would empty a machine, if it holds nothing else and all of them
+    /// have run for a while.
+    fn drain_of(&self, m: &Machine, now: Micros) -> Option<Vec<TaskKey>> {
+        let settled = Micros::from_secs(40);
+        let load = m.kept_load()?;
+        if load.live == 0 || load.live != load.replicas {
+            return None;
+        }
+        let ran = |s: &Slot| s.stop.is_none() && s.running_since.is_some_and(|t| now >= t + settled);
+        let live = || m.slots().iter().filter(|(_, s)| s.is_live());
+        live().all(|(_, s)| ran(s)).then(|| live().map(|(k, _)| k.clone()).collect())
+    }
+
     /// The job may use this machine.
     fn allowed(&self, needs: &Needs, bin: &Bin) -> bool {
         needs.kinds[bin.kind]
@@ -952,6 +990,31 @@
         Some(self.bins.len() - 1)
     }
 
+    /// Says how the fleet is used once this plan's tasks run; for finding out what is paid in vain.
+    fn tell(&self) {
+        let sum = |f: &dyn Fn(&&Bin) -> bool| {
+            let bins = self.bins.iter().filter(f);
+            bins.fold((0u32, 0.0, 0.0), |s, b| (s.0 + 1, s.1 + self.kinds[b.kind].gpus, s.2 + b.free.gpus))
+        };
+        let (ready, idle) = (sum(&|b| b.ready), sum(&|b| b.ready && b.empty));
+        let coming = sum(&|b| !b.ready && b.machine.is_some());
+        let planned = sum(&|b| b.machine.is_none());
+        debug!(
+            ready = ready.0,
+            ready_gpus = ready.1,
+            ready_free = ready.2,
+            idle = idle.0,
+            idle_gpus = idle.1,
+            coming = coming.0,
+            coming_gpus = coming.1,
+            coming_free = coming.2,
+            planned = planned.0,
+            planned_gpus = planned.1,
+            planned_free = planned.2,
+            "fleet"
+        );
+    }
+
     /// Charges `n` tasks to their team unless that exceeds its limit.
     fn charge(&mut self, needs: &Needs, n: u32, teams: &[Team]) -> bool {
         let Some(team) = needs.team else { return false };
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -72,6 +72,10 @@
 const MOST_OPEN: usize = 4;
 const MOST_TRIES: u32 = 8;
 const MOST_PER_DELETE: usize = 100;
+/// Calls to the cloud are scarce: while one deletion is under way the next one gathers machines,
+/// or a shrinking fleet is paid for while single deletions queue. A second may go out beside it,
+/// for a failed one is only tried again after a pause.
+const MOST_OPEN_DELETES: usize = 2;
 
 impl Core {
     pub(super) fn rent(&mut self, demand: Demand, now: Micros) {
@@ -151,6 +155,7 @@
 
     /// The cloud confirmed a deletion: the machines and everything on them are gone.
     pub fn deleted(&mut self, ids: &[MachineId], now: Micros) {
+        self.open_deletes = self.open_deletes.saturating_sub(1);
         for id in ids {
             self.probe_over(id);
             self.clear_slots(id);
@@ -163,6 +168,7 @@
 
     /// A deletion was not confirmed: it is tried again.
     pub fn delete_failed(&mut self, ids: &[MachineId]) {
+        self.open_deletes = self.open_deletes.saturating_sub(1);
         for id in ids {
             if let Some(m) = self.machines.get_mut(id) {
                 m.delete_sent = false;
@@ -202,7 +208,7 @@
 
     /// Returns machines that nobody needs, that are faulty, or that never came up.
     pub(super) fn return_idle(&mut self, now: Micros) {
-        let idle_for = Micros::from_secs(40);
+        let idle_for = Micros::from_secs(10);
         let mut returns = Vec::new();
         // While production work arrives, one ordinary machine stays ready for the next of it.
         let lately = Micros::from_secs(120);
@@ -236,12 +242,17 @@
                 m.deleting = true;
                 info!(machine = %m.id, zone = %m.zone, spot = m.spot, never_up, faulty, "returning machine");
             }
-            if m.deleting && !m.delete_sent && returns.len() < MOST_PER_DELETE {
+            if m.deleting
+                && !m.delete_sent
+                && self.open_deletes < MOST_OPEN_DELETES
+                && returns.len() < MOST_PER_DELETE
+            {
                 m.delete_sent = true;
                 returns.push(m.id.clone());
             }
         }
         if !returns.is_empty() {
+            self.open_deletes += 1;
             self.actions.push_back(Action::Delete { machines: returns });
         }
     }
