--- a/src/api.rs
+++ b/src/api.rs
@@ -292,6 +292,7 @@
         match node.state.txn(conditions, changes).await? {
             TxnEnd::Applied(_) => {
                 node.finals.add(id, end);
+                node.promises.note_cancelled(id);
                 nudge(node, id);
                 if let Some(leading) = node.leading() {
                     leading.core.borrow_mut().job_dropped(id);
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -638,7 +638,8 @@
     /// machine is allowed.)
     fn consolidate(&mut self, plan: &Plan, now: Micros) {
         let replicas: u32 = plan.bins.iter().map(|b| b.replicas).sum();
-        let earned = f64::from(replicas) * MOVE_SHARE * (now - self.moves_earned).as_secs_f64();
+        // A small deployment earns a move a minute.
+        let earned = f64::from(replicas.max(16)) * MOVE_SHARE * (now - self.moves_earned).as_secs_f64();
         self.moves_earned = now;
         // At most what 20 s earn is kept, but enough for one move.
         let most = (f64::from(replicas) * MOVE_SHARE * 20.0).max(MOVE_S + 30.0);
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -2,6 +2,7 @@
 //! blocks to itself, takes over the records, and runs the core.
 
 use crate::core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
+use crate::entitlement::Entitlement;
 use crate::ids::{JobId, Mark, Token};
 use crate::node::{Leading, Node};
 use crate::runtime::{self, Bell, Cancel};
@@ -54,13 +55,29 @@
             if !own_former && !fresh_start {
                 runtime::sleep(jitter(Micros::from_millis(150))).await;
             }
+            // No wait between this look and the try: from here on nothing is promised.
+            let kept = node.promises.kept_until(own_former);
+            if runtime::now() < kept {
+                runtime::sleep_until(kept).await;
+                continue;
+            }
             fresh_start = false;
-            if let Some(leading) = acquire(&node, &me, mark).await {
-                let starved = lead(&node, leading).await;
+            node.promises.leads.set(true);
+            let acquired = acquire(&node, &me, mark).await;
+            if let Acquired::Unsure(lease) = acquired {
+                // The try may yet be executed, late: until its lease is gone for certain, nothing
+                // can be promised.
+                while node.state.release(lease).await.is_err() {
+                    runtime::sleep(Micros::from_millis(500)).await;
+                }
+            }
+            if let Acquired::Lead(lease, token, until) = acquired {
+                let starved = lead(&node, (lease, token, until)).await;
                 if starved {
                     shy_until = runtime::now() + Micros::from_secs(12);
                 }
             }
+            node.promises.leads.set(false);
             continue;
         }
         fresh_start = false;
@@ -73,8 +90,16 @@
     }
 }
 
+/// How a try to lead ended.
+enum Acquired {
+    Lead(u64, Token, Micros),
+    No,
+    /// No answer: it may be executed late, while this lease lives.
+    Unsure(u64),
+}
+
 /// Tries to become the leader and to lease all blocks; the revision of that write is the token.
-async fn acquire(node: &Rc<Node>, me: &Holder, mark: Mark) -> Option<(u64, Token, Micros)> {
+async fn acquire(node: &Rc<Node>, me: &Holder, mark: Mark) -> Acquired {
     let ttl = node.settings.leader_ttl();
     let sent = runtime::now();
     let lease = match node.state.grant(ttl).await {
@@ -82,7 +107,7 @@
         Err(e) => {
             debug!(error = %e, "no lease");
             runtime::sleep(Micros::from_millis(300)).await;
-            return None;
+            return Acquired::No;
         }
     };
     let mut changes = vec![Change::Put { key: LEADER.to_owned(), value: me.clone(), lease: Some(lease) }];
@@ -92,18 +117,15 @@
     match node.state.txn(vec![Condition { key: LEADER.to_owned(), mark }], changes).await {
         Ok(TxnEnd::Applied(m)) => {
             info!(token = m.0, blocks = ?node.config.zones, "leading: all blocks granted to this node");
-            Some((lease, Token(m.0), sent + ttl.less_drift()))
+            Acquired::Lead(lease, Token(m.0), sent + ttl.less_drift())
         }
         Ok(TxnEnd::Failed(_)) => {
             let _ = node.state.release(lease).await;
-            None
+            Acquired::No
         }
-        // If it was executed after all, the lease's end takes it back.
         Err(e) => {
             debug!(error = %e, "leadership not decided");
-            let _ = node.state.release(lease).await;
-            runtime::sleep(Micros::from_millis(300)).await;
-            None
+            Acquired::Unsure(lease)
         }
     }
 }
@@ -114,11 +136,12 @@
     // From the grant, not from the reading of the records: old holders had stopped by then.
     let granted_at = runtime::now();
     let cancel = Cancel::new();
-    let lease_until = Rc::new(Cell::new(until));
+    let ttl = node.settings.leader_ttl();
+    let right = Rc::new(RefCell::new(Entitlement::new(until, ttl, WATCH, node.links.0.len())));
     let lost = Bell::default();
     runtime::spawn_until(
         cancel.clone(),
-        keep_lease(node.clone(), lease, lease_until.clone(), lost.clone(), cancel.clone()),
+        keep_lease(node.clone(), lease, right.clone(), lost.clone(), cancel.clone()),
     );
     let taken = cancel.run(take_over(node, token, granted_at)).await;
     let Some(Some((core, revision))) = taken else {
@@ -127,10 +150,11 @@
     };
     let now = runtime::now();
     info!(token = token.0, jobs = core.jobs.len(), machines = core.machines.len(), "records read");
+    // All that was cancelled before the records were read is missing in them.
+    right.borrow_mut().heard(granted_at);
     let leading = Rc::new(Leading {
         core: RefCell::new(core),
-        lease_until,
-        heard_until: Cell::new(now + WATCH + node.settings.leader_ttl()),
+        right,
         last_report: Cell::new(now),
         bell: Bell::default(),
         write_bell: Bell::default(),
@@ -171,14 +195,13 @@
     expected >= 2 && leading.entitled() && runtime::now() > leading.last_report.get() + quiet
 }
 
-async fn keep_lease(node: Rc<Node>, lease: u64, until: Rc<Cell<Micros>>, lost: Bell, cancel: Cancel) {
+async fn keep_lease(node: Rc<Node>, lease: u64, right: Rc<RefCell<Entitlement>>, lost: Bell, cancel: Cancel) {
     let ttl = node.settings.leader_ttl();
     loop {
         let sent = runtime::now();
         match node.state.renew(lease, Micros::from_millis(1000)).await {
             Ok(()) => {
-                // Counted from the sending, less the drift between the clocks.
-                until.set(sent + ttl.less_drift());
+                right.borrow_mut().renewed(sent);
                 lost.ring();
                 runtime::sleep(Micros(ttl.0 / 4)).await;
             }
@@ -245,14 +268,13 @@
 
 /// Learns of jobs that other nodes accept or cancel.
 async fn watch_jobs(node: Rc<Node>, leading: Rc<Leading>, mut since: u64) {
-    let grace = WATCH + node.settings.leader_ttl();
     loop {
         let sent = runtime::now();
         let result: Result<Events<JobRecord>, _> = node.state.changes(JOBS, since, WATCH).await;
         match result {
             Ok(events) => {
                 since = events.revision.max(since);
-                leading.heard_until.set(sent + grace);
+                leading.right.borrow_mut().heard(sent);
                 let now = runtime::now();
                 let mut core = leading.core.borrow_mut();
                 let any = !events.events.is_empty();
@@ -283,7 +305,7 @@
                         core.job_seen(id, record, mark, now);
                     }
                     since = revision;
-                    leading.heard_until.set(sent + grace);
+                    leading.right.borrow_mut().heard(sent);
                     leading.bell.ring();
                 }
                 Err(_) => runtime::sleep(Micros::from_millis(300)).await,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod cloud;
 pub mod core;
+pub mod entitlement;
 pub mod http;
 pub mod ids;
 pub mod lead;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,11 +1,12 @@
 //! Between controllers: gRPC by `tonic`, over hyper's HTTP/2 on our own event loop.
 //!
-//! Nothing here is needed to keep a rule: the mesh only says who reaches the state service and
-//! carries users' requests to a node that can answer them better.
+//! The mesh says who reaches the state service, carries users' requests to a node that can answer
+//! them better, and carries promises in an outage (see [`crate::entitlement`]). Without it the
+//! rules hold all the same.
 
 use crate::http::{Method, Request, Response};
 use crate::ids::JobId;
-use crate::node::Node;
+use crate::node::{Leading, Node};
 use crate::runtime::{self, Cancel, TcpListener, TcpStream};
 use crate::settings::Peer;
 use crate::time::Micros;
@@ -208,10 +209,17 @@
     }
 }
 
-fn greeting(node: &Node) -> Greeting {
+/// `promise`: the peer asked, so it may rely on a promise from now on. One that we sent unasked
+/// could arrive late.
+fn greeting(node: &Node, promise: bool) -> Greeting {
+    let state_ok = node.state.answers();
+    let span = if promise && !state_ok { node.promises.promise() } else { None };
     Greeting {
+        process: node.promises.process,
+        promise_us: span.map_or(0, |s| s.0),
+        cancelled: if span.is_some() { node.promises.cancelled() } else { Vec::new() },
         node: node.settings.node.clone(),
-        state_ok: node.state.answers(),
+        state_ok,
         token: node.leading().filter(|l| l.entitled()).map_or(0, |l| l.core.borrow().token.0),
     }
 }
@@ -219,13 +227,35 @@
 /// Greets one peer every second or so.
 pub async fn greet(node: Rc<Node>, peer: usize) {
     loop {
-        let mine = greeting(&node);
+        let mine = greeting(&node, false);
         let link = &node.links.0[peer];
+        let sent = runtime::now();
         if let Some(answer) = link.call(GREET, |mut c| async move { c.greet(mine).await }).await {
             link.note(&answer);
+            if let Some(leading) = node.leading() {
+                heed(&leading, peer, sent, &answer);
+            }
+        }
+        // Promises are short: they are asked for again well before they end.
+        let pause = if node.state.answers() { 1000 } else { 600 };
+        runtime::sleep(Micros::from_millis(pause)).await;
+    }
+}
+
+/// A leader takes what a peer answered into account.
+fn heed(leading: &Leading, peer: usize, sent: Micros, answer: &Greeting) {
+    let span = (answer.promise_us > 0).then_some(Micros(answer.promise_us));
+    leading.right.borrow_mut().answered(peer, answer.process, sent, span, runtime::now());
+    if answer.cancelled.is_empty() {
+        return;
+    }
+    let mut core = leading.core.borrow_mut();
+    for id in answer.cancelled.iter().filter_map(|id| JobId::parse(id)) {
+        if core.jobs.contains_key(&id) {
+            core.job_dropped(&id);
         }
-        runtime::sleep(Micros::from_secs(1)).await;
     }
+    leading.bell.ring();
 }
 
 /// A request that reached us over the mesh, with where its answer goes.
@@ -330,13 +360,13 @@
             // Unknown nodes get no answer.
             let Some(link) = node.links.by_name(&greeting.node) else { return };
             link.note(&greeting);
-            let _ = reply.send(self::greeting(node));
+            let _ = reply.send(self::greeting(node, true));
         }
         Call::Nudge(news, reply) => {
             if node.links.by_name(&news.node).is_none() {
                 return;
             }
-            let _ = reply.send(self::greeting(node));
+            let _ = reply.send(self::greeting(node, false));
             if let (Some(id), Some(leading)) = (JobId::parse(&news.job), node.leading()) {
                 crate::lead::read_news(node, &leading, id).await;
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,7 +2,9 @@
 
 use crate::cloud::Cloud;
 use crate::core::{Config, Core};
+use crate::entitlement::{Entitlement, PROMISE};
 use crate::http::{self, Limits, Request, Response};
+use crate::ids::JobId;
 use crate::mesh::{self, Links};
 use crate::runtime::{self, Bell, Cancel, TcpListener};
 use crate::settings::Settings;
@@ -11,6 +13,7 @@
 use crate::wire::cloud::MachineType;
 use crate::{api, lead, workers};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
 use tracing::{debug, info};
@@ -25,18 +28,74 @@
     pub leader: RefCell<Option<String>>,
     /// Set while this node leads.
     pub leading: RefCell<Option<Rc<Leading>>>,
+    /// What this node promises its peers.
+    pub promises: Promises,
     pub finals: api::Finals,
     pub links: Links,
     pub cancel: Cancel,
 }
 
+/// What peers may rely on while the state service refuses everybody; see [`crate::entitlement`].
+pub struct Promises {
+    /// Tells this process from its predecessors and successors.
+    pub process: u64,
+    /// This process promised not to try to lead before this.
+    until: Cell<Micros>,
+    /// The process before it may have promised as much.
+    inherited_until: Micros,
+    /// It leads or tries to, or a try may still succeed late: it can't promise.
+    pub leads: Cell<bool>,
+    /// Jobs of which users were told here, of late, that they are cancelled.
+    cancelled: RefCell<VecDeque<(Micros, JobId)>>,
+}
+
+impl Promises {
+    /// What a former process promised is forgotten, so all that it can have promised is kept.
+    fn new() -> Promises {
+        Promises {
+            process: rand::random(),
+            until: Cell::new(Micros::ZERO),
+            inherited_until: runtime::now() + PROMISE.with_drift(),
+            leads: Cell::new(false),
+            cancelled: RefCell::default(),
+        }
+    }
+
+    /// This node must not try to lead before this. If its former process still holds the lead, that
+    /// had no promise open.
+    pub fn kept_until(&self, own_former: bool) -> Micros {
+        if own_former { self.until.get() } else { self.until.get().max(self.inherited_until) }
+    }
+
+    /// Remembers a cancellation until any leader must have heard of it from the state service.
+    pub fn note_cancelled(&self, job: &JobId) {
+        let now = runtime::now();
+        let mut cancelled = self.cancelled.borrow_mut();
+        cancelled.push_back((now, job.clone()));
+        while cancelled.front().is_some_and(|(t, _)| now > *t + Micros::from_secs(60)) || cancelled.len() > 1000 {
+            cancelled.pop_front();
+        }
+    }
+
+    pub fn cancelled(&self) -> Vec<String> {
+        self.cancelled.borrow().iter().map(|(_, id)| id.to_string()).collect()
+    }
+
+    /// Promises not to lead, if that can be kept; for how long.
+    pub fn promise(&self) -> Option<Micros> {
+        if self.leads.get() {
+            return None;
+        }
+        self.until.set(self.until.get().max(runtime::now() + PROMISE.with_drift()));
+        Some(PROMISE)
+    }
+}
+
 /// What a leading node has.
 pub struct Leading {
     pub core: RefCell<Core>,
-    /// Our lease in the state service holds at least until then.
-    pub lease_until: Rc<Cell<Micros>>,
-    /// We have heard of all cancellations up to a moment not long before this.
-    pub heard_until: Cell<Micros>,
+    /// How long we may command workers.
+    pub right: Rc<RefCell<Entitlement>>,
     /// When a worker last reported to us.
     pub last_report: Cell<Micros>,
     /// Rung when the core has changed.
@@ -51,8 +110,7 @@
     /// without news of cancellations we must not keep tasks alive. (Guards `ran_twice` and
     /// `ran_cancelled`.)
     pub fn entitled(&self) -> bool {
-        let now = runtime::now();
-        now < self.lease_until.get() && now < self.heard_until.get() && !self.cancel.is_cancelled()
+        self.right.borrow().holds(runtime::now()) && !self.cancel.is_cancelled()
     }
 
     /// Does something with the core that may make a plan, and has the time between plans follow
@@ -78,6 +136,7 @@
             catalog: RefCell::default(),
             leader: RefCell::default(),
             leading: RefCell::default(),
+            promises: Promises::new(),
             finals: api::Finals::default(),
             links: Links::new(&settings.peers),
             cancel: Cancel::new(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,8 +178,13 @@
         }
     }
 
+    /// Ends a lease; `Ok` means that it is gone for certain.
     pub async fn release(&self, lease: u64) -> Result<(), StateError> {
-        self.send(Method::Delete, &format!("/holds/{lease}"), &[], READ_LIMIT).await.map(|_| ())
+        let r = self.send(Method::Delete, &format!("/holds/{lease}"), &[], READ_LIMIT).await?;
+        match r.status {
+            200..=299 | 404 => Ok(()),
+            s => Err(StateError::Refused(s)),
+        }
     }
 
     /// Waits for changes under a prefix after a revision, at most for `wait`.
--- a/tests/sim/controller.rs
+++ b/tests/sim/controller.rs
@@ -3,6 +3,7 @@
 use super::store::{Change, Value};
 use super::{Host, World};
 use hopyoke::core::{Action, Batch, BatchError, Core, EndRecord, JobRecord, RentOutcome, Write};
+use hopyoke::entitlement::{Entitlement, PROMISE};
 use hopyoke::ids::{JobId, MachineId, Mark, Token};
 use hopyoke::time::Micros;
 use hopyoke::wire::cloud::{Listed, ListedState};
@@ -17,13 +18,20 @@
     pub process: u64,
     pub lead: Option<Lead>,
     pub leader_seen: Option<usize>,
+    /// It does not try to lead before this, by its own promise or what a former process may have
+    /// promised.
+    kept_until: Micros,
+    own_kept_until: Micros,
+    /// Tries to lead that have no answer: they may succeed late.
+    tries: u32,
+    /// Jobs that users were told here are cancelled.
+    cancelled: Vec<JobId>,
 }
 
 pub struct Lead {
     pub core: Core,
     pub lease: u64,
-    pub until: Micros,
-    pub heard_until: Micros,
+    pub right: Entitlement,
     since: u64,
     /// Number of the watch that is open.
     watch: u64,
@@ -40,6 +48,10 @@
         n.up = true;
         n.process += 1;
         n.lead = None;
+        n.kept_until = self.now + PROMISE.with_drift();
+        n.own_kept_until = Micros::ZERO;
+        n.tries = 0;
+        n.cancelled.clear();
         let p = n.process;
         let wait = Micros(self.random(1_000, 100_000));
         self.after(wait, move |w| w.seek(i, p, true));
@@ -63,7 +75,7 @@
     }
 
     fn entitled(&self, i: usize) -> bool {
-        self.nodes[i].lead.as_ref().is_some_and(|l| self.now < l.until && self.now < l.heard_until)
+        self.nodes[i].lead.as_ref().is_some_and(|l| l.right.holds(self.now))
     }
 
     /// Looks who leads; tries to lead if nobody does.
@@ -72,9 +84,21 @@
             return;
         }
         let sent = self.now;
+        let n = &mut self.nodes[i];
+        let others_too = sent >= n.kept_until;
+        if sent < n.own_kept_until {
+            let wait = n.own_kept_until - sent;
+            return self.after(wait, move |w| w.seek(i, process, first));
+        }
+        n.tries += 1;
         self.send(Host::Node(i), Host::State, move |w| {
+            let answered = move |w: &mut World| {
+                if w.alive(i, process) {
+                    w.nodes[i].tries = w.nodes[i].tries.saturating_sub(1);
+                }
+            };
             if w.state_down() {
-                return;
+                return w.send(Host::State, Host::Node(i), answered);
             }
             let holder = match w.store.keys.get("leader") {
                 Some(e) => match e.value {
@@ -84,18 +108,26 @@
                 None => None,
             };
             let mark = match holder {
+                None if !others_too => return w.send(Host::State, Host::Node(i), answered),
                 None => 0,
                 // A former process of the same node: its lease need not run out.
                 Some((h, mark)) if h == i && first => mark,
                 Some((h, _)) => {
-                    return w.send(Host::State, Host::Node(i), move |w| w.nodes[i].leader_seen = Some(h));
+                    return w.send(Host::State, Host::Node(i), move |w| {
+                        answered(w);
+                        w.nodes[i].leader_seen = Some(h);
+                    });
                 }
             };
             let until = w.now + w.ttl;
             let lease = w.store.grant(until);
             let put = Change::Put("leader".into(), Value::Holder(i), Some(lease));
-            if let Ok(token) = w.store.txn(&[("leader".into(), mark)], vec![put]) {
-                w.send(Host::State, Host::Node(i), move |w| w.granted(i, process, lease, token, sent));
+            match w.store.txn(&[("leader".into(), mark)], vec![put]) {
+                // Who leads counts as trying for as long as its process lives: it never promises.
+                Ok(token) => {
+                    w.send(Host::State, Host::Node(i), move |w| w.granted(i, process, lease, token, sent))
+                }
+                Err(_) => w.send(Host::State, Host::Node(i), answered),
             }
         });
         let pause = Micros(self.random(200_000, 500_000));
@@ -134,12 +166,12 @@
                 w.leaders += 1;
                 let mut core = Core::new(w.cfg.clone(), Token(token), jobs, register, at);
                 core.set_catalog(w.types.clone());
-                let heard_until = w.now + WATCH + w.ttl;
+                let mut right = Entitlement::new(until, w.ttl, WATCH, w.nodes.len());
+                right.heard(at);
                 let lead = Lead {
                     core,
                     lease,
-                    until,
-                    heard_until,
+                    right,
                     since: revision,
                     watch: 0,
                     writing: false,
@@ -149,6 +181,7 @@
                 w.nodes[i].leader_seen = Some(i);
                 w.renew(i, process);
                 w.watch(i, process);
+                w.greet(i, process);
                 w.tick(i, process);
                 w.list(i, process);
             });
@@ -169,8 +202,7 @@
             if w.state_down() {
                 return;
             }
-            let ttl = w.ttl;
-            let until = w.now + ttl;
+            let until = w.now + w.ttl;
             let alive = match w.store.leases.get_mut(&lease) {
                 Some(t) => {
                     *t = until;
@@ -181,7 +213,7 @@
             w.send(Host::State, Host::Node(i), move |w| {
                 let Some(lead) = w.lead(i, process) else { return };
                 if alive {
-                    lead.until = lead.until.max(sent + ttl.less_drift());
+                    lead.right.renewed(sent);
                 } else if lead.lease == lease {
                     w.nodes[i].lead = None;
                     w.log(|| format!("node {i} lost its lease"));
@@ -193,6 +225,43 @@
         self.after(pause, move |w| w.renew(i, process));
     }
 
+    /// Asks the peers for promises.
+    fn greet(&mut self, i: usize, process: u64) {
+        if self.lead(i, process).is_none() {
+            return;
+        }
+        let sent = self.now;
+        for j in (0..self.nodes.len()).filter(|j| *j != i) {
+            self.send(Host::Node(i), Host::Node(j), move |w| {
+                if !w.nodes[j].up {
+                    return;
+                }
+                let (now, refused) = (w.now, w.state_down() || w.cut(Host::Node(j), Host::State).is_some());
+                let n = &mut w.nodes[j];
+                let span = (refused && n.lead.is_none() && n.tries == 0).then_some(PROMISE);
+                if span.is_some() {
+                    n.own_kept_until = n.own_kept_until.max(now + PROMISE.with_drift());
+                }
+                let (its, cancelled) = (n.process, n.cancelled.clone());
+                w.send(Host::Node(j), Host::Node(i), move |w| {
+                    let now = w.now;
+                    let Some(lead) = w.lead(i, process) else { return };
+                    lead.right.answered(j, its, sent, span, now);
+                    for id in cancelled.iter().filter(|_| span.is_some()) {
+                        if lead.core.jobs.contains_key(id) {
+                            lead.core.job_dropped(id);
+                        }
+                    }
+                });
+            });
+        }
+        // Our own place among the peers: nothing is asked of it.
+        if let Some(lead) = self.lead(i, process) {
+            lead.right.answered(i, process, sent, Some(PROMISE), sent);
+        }
+        self.after(Micros::from_millis(600), move |w| w.greet(i, process));
+    }
+
     fn watch(&mut self, i: usize, process: u64) {
         let sent = self.now;
         let Some(lead) = self.lead(i, process) else { return };
@@ -228,10 +297,10 @@
             events.push((JobId::new(&key[4..]), record, Mark(mark), dropped));
         }
         self.send(Host::State, Host::Node(i), move |w| {
-            let (now, grace) = (w.now, WATCH + w.ttl);
+            let now = w.now;
             let Some(lead) = w.lead(i, process).filter(|l| l.watch == number) else { return };
             lead.since = lead.since.max(revision);
-            lead.heard_until = lead.heard_until.max(sent + grace);
+            lead.right.heard(sent);
             for (id, record, mark, dropped) in events {
                 match record {
                     Some(r) => lead.core.job_seen(id, r, mark, now),
@@ -566,6 +635,9 @@
             if w.store.txn(&[(key, mark)], apply).is_ok() {
                 w.send(Host::State, Host::Node(i), move |w| {
                     let now = w.now;
+                    if w.nodes[i].up {
+                        w.nodes[i].cancelled.push(id.clone());
+                    }
                     if let Some(j) = w.jobs.get_mut(&id) {
                         j.cancelled.get_or_insert(now);
                     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -203,6 +203,7 @@
     match who {
         "all" => (0..w.nodes.len()).collect(),
         "leader" => w.leader().into_iter().collect(),
+        "followers" => (0..w.nodes.len()).filter(|i| w.leader() != Some(*i)).collect(),
         "follower" => (0..w.nodes.len()).find(|i| w.leader() != Some(*i)).into_iter().collect(),
         n => vec![num(n) as usize],
     }
