--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -89,6 +89,8 @@
     pub seen_at: Micros,
     /// Why its tasks wait, for operators.
     pub waits_for: &'static str,
+    /// What they waited for last.
+    pub waited_for: &'static str,
 }
 
 impl Job {
@@ -115,6 +117,7 @@
             writing: false,
             seen_at: now,
             waits_for: "its first placement",
+            waited_for: "",
             spec: record.spec,
         }
     }
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -62,6 +62,8 @@
     index: u32,
     machine: MachineId,
     attempt: Attempt,
+    /// The machine has the image.
+    image: bool,
 }
 
 /// A kind of machine that the cloud sells, as seen by one plan.
@@ -196,12 +198,15 @@
             } else if (strange || unbounded) && self.limited(&job.spec.team) {
                 "recovery"
             } else if job.is_gang() {
-                self.place_gang(&id, &mut plan)
+                self.place_gang(&id, &mut plan, now)
             } else {
                 self.place_each(&id, &mut plan, now)
             };
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.waits_for = why;
+                if !why.is_empty() {
+                    job.waited_for = why;
+                }
             }
         }
         if now >= self.next_fleet_line {
@@ -483,19 +488,20 @@
                 }
             };
             left -= 1;
+            let image = plan.has_image(&plan.bins[bin], needs.image);
             plan.take(bin, &mut needs);
             if plan.bins[bin].ready
                 && let Some(machine) = plan.bins[bin].machine.clone()
             {
                 let attempt = self.new_attempt();
-                plan.starts.push(Start { job: id.clone(), index, machine, attempt });
+                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
             }
         }
         if unknown { "recovery" } else { "" }
     }
 
     /// Gangs: all tasks at once, or the replacements that a waiting gang lacks.
-    fn place_gang(&mut self, id: &JobId, plan: &mut Plan) -> &'static str {
+    fn place_gang(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
         let (Some(needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
         let n = job.spec.tasks;
         let missing: Vec<u32> = (0..n).filter(|i| !job.places.contains_key(i)).collect();
@@ -528,11 +534,16 @@
             // Written before any of its tasks is told to start.
             job.term = attempt;
             job.gang_started = false;
+            let waited_ms = (now - job.seen_at).as_millis();
+            let (class, tasks, waited_for) = (&job.spec.class, job.spec.tasks, job.waited_for);
+            let warm = bins.iter().filter(|b| plan.had_image(&plan.bins[**b], needs.image)).count();
+            debug!(job = %id, class, tasks, waited_ms, waited_for, warm, first = term.0 == 0, "gang start");
             self.writes.note(id);
         }
         for (index, bin) in missing.into_iter().zip(bins) {
             if let Some(machine) = plan.bins[bin].machine.clone() {
-                plan.starts.push(Start { job: id.clone(), index, machine, attempt });
+                let image = plan.had_image(&plan.bins[bin], needs.image);
+                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
             }
         }
         ""
@@ -824,6 +835,9 @@
         if job.term.0 == 0 {
             // Its first start is recorded before it is commanded.
             job.term = s.attempt;
+            let waited_ms = (now - job.seen_at).as_millis();
+            let (class, tasks, waited_for) = (&job.spec.class, job.spec.tasks, job.waited_for);
+            debug!(job = %s.job, class, tasks, waited_ms, waited_for, image = s.image, "first start");
             self.writes.note(&s.job);
         }
         let spec = job.spec.clone();
@@ -929,8 +943,13 @@
 
 impl Plan {
     fn has_image(&self, bin: &Bin, image: ImageKey) -> bool {
+        bin.latest == Some(image) || self.had_image(bin, image)
+    }
+
+    /// It has the image, or fetches it, without what this plan starts.
+    fn had_image(&self, bin: &Bin, image: ImageKey) -> bool {
         let (first, end) = bin.images;
-        bin.latest == Some(image) || self.images[first as usize..end as usize].contains(&image)
+        self.images[first as usize..end as usize].contains(&image)
     }
 
     fn score(&self, needs: &Needs, bin: &Bin) -> f64 {
