--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -553,7 +553,7 @@
     /// that are not ready yet is taken in the plan, so that it is kept for this gang.
     fn choose_all(&self, needs: &Needs, plan: &mut Plan, count: u32) -> Option<Vec<usize>> {
         let zones: Vec<Option<usize>> = if needs.spec.one_zone {
-            let mut room = vec![(0u32, 0u32); self.cfg.zones.len()];
+            let mut room = vec![(0u32, 0u32, 0u32); self.cfg.zones.len()];
             for &i in &plan.open {
                 let b = &plan.bins[i];
                 let Some(room) = room.get_mut(b.zone) else { continue };
@@ -561,10 +561,13 @@
                 if holds > 0 && self.allowed(needs, b) {
                     room.0 += if b.ready { holds } else { 0 };
                     room.1 += holds;
+                    room.2 += if b.ready && plan.has_image(b, needs.image) { holds } else { 0 };
                 }
             }
             let mut zones: Vec<usize> = (0..room.len()).collect();
-            zones.sort_by_key(|&z| Reverse((room[z].0.min(count), room[z].1.min(count))));
+            // Where all can start now; among those where most have the image: the last to fetch it is
+            // the one that all wait for.
+            zones.sort_by_key(|&z| Reverse((room[z].0.min(count), room[z].1.min(count), room[z].2.min(count))));
             zones.into_iter().map(Some).collect()
         } else {
             vec![None]
