--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -180,6 +180,8 @@
     move_budget: f64,
     moves_earned: Micros,
     next_fleet_line: Micros,
+    /// Zones of which most machines fell silent together, by their place in the settings' list.
+    cut_zones: Vec<bool>,
     /// No replica is moved before this.
     next_move: Micros,
 }
@@ -225,6 +227,7 @@
             move_budget: 0.0,
             moves_earned: now,
             next_fleet_line: Micros::ZERO,
+            cut_zones: Vec::new(),
             next_move: Micros::ZERO,
         };
         for (id, record, mark) in jobs {
@@ -330,6 +333,7 @@
         self.last_settled = now;
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
+            self.note_cut_zones(now);
             self.lapse_leases(now);
             self.give_up_silent(now);
             self.note_recovery(now);
@@ -437,10 +441,42 @@
         format!("hy-{}-{}", self.token, self.counter)
     }
 
+    fn boot_time(&self, name: &str) -> Micros {
+        self.machine_type(name).map_or(Micros::ZERO, |t| Micros::from_secs_f64(t.boot_s))
+    }
+
     fn machine_type(&self, name: &str) -> Option<&MachineType> {
         self.types.iter().find(|t| t.name == name)
     }
 
+    /// When most machines of a zone fall silent together, the zone is most likely cut off: they will
+    /// be back, and machines rented there now could not report either.
+    fn note_cut_zones(&mut self, now: Micros) {
+        let zones = self.cfg.zones.len() + 1;
+        let quiet = self.cfg.report.times(2) + Micros::from_secs(1);
+        let mut seen = vec![(0usize, 0usize); zones];
+        for m in self.machines.values().filter(|m| m.registered && !m.deleting) {
+            let since = m.last_seen.max(self.resumed);
+            let (all, silent) = &mut seen[self.zone_index(&m.zone)];
+            *all += 1;
+            *silent += usize::from(m.phase == Phase::Lost || now >= since + quiet);
+        }
+        // Were all zones silent, the fault would be ours.
+        let heard = seen.iter().any(|(all, silent)| *all > 0 && silent * 2 < *all);
+        let cut: Vec<bool> = seen.iter().map(|(all, silent)| heard && *all >= 3 && silent * 2 >= *all).collect();
+        for (z, name) in self.cfg.zones.iter().enumerate() {
+            if cut[z] != self.cut_zones.get(z).copied().unwrap_or(false) {
+                info!(zone = %name, cut = cut[z], machines = seen[z].0, silent = seen[z].1, "zone silent");
+                self.changed = true;
+            }
+        }
+        self.cut_zones = cut;
+    }
+
+    pub(super) fn zone_cut(&self, zone: &str) -> bool {
+        self.cut_zones.get(self.zone_index(zone)).copied().unwrap_or(false)
+    }
+
     /// A machine that has fallen silent while most others report is given up: its deletion proves
     /// that its tasks are gone, sooner than its lease's lapse would. Were it this node that is cut
     /// off, most would be silent, and nothing is deleted.
@@ -465,7 +501,8 @@
             .iter()
             .filter(|m| {
                 let quiet = now.saturating_sub(since(m));
-                quiet >= silent_after || unlisted(m) && (m.unreachable || quiet >= unlisted_after)
+                (quiet >= silent_after && !self.zone_cut(&m.zone))
+                    || unlisted(m) && (m.unreachable || quiet >= unlisted_after)
             })
             .map(|m| m.id.clone())
             .collect();
@@ -495,11 +532,27 @@
             .filter(|m| m.phase != Phase::Lost && m.lease_end > Micros::ZERO && now >= m.lease_end)
             .map(|m| m.id.clone())
             .collect();
+        // Machines of a zone that is cut off are kept for as long as new ones would take to boot.
+        let kept: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Lost && !m.deleting)
+            .filter(|m| now >= m.lease_end + self.boot_time(&m.machine_type))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in kept {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.deleting = true;
+                self.changed = true;
+            }
+        }
         for id in lapsed {
             let held = self.clear_slots(&id);
+            let cut = self.machines.get(&id).is_some_and(|m| self.zone_cut(&m.zone));
             if let Some(m) = self.machines.get_mut(&id) {
                 m.phase = Phase::Lost;
-                m.deleting = true;
+                m.deleting |= !cut;
+                m.idle_since = None;
                 info!(machine = %id, zone = %m.zone, spot = m.spot, tasks = held, "machine lost: its lease lapsed");
             }
             self.changed = true;
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -52,6 +52,8 @@
     latest: Option<ImageKey>,
     /// Some job's tasks failed on it.
     failed: bool,
+    /// It is cut off and may be back: production work does not wait for that.
+    returning: bool,
     /// The plan counts on it.
     wanted: bool,
 }
@@ -269,7 +271,7 @@
     }
 
     /// A zone's place in the settings' list; unknown ones share the place after the last.
-    fn zone_index(&self, name: &str) -> usize {
+    pub(super) fn zone_index(&self, name: &str) -> usize {
         self.cfg.zones.iter().position(|z| z == name).unwrap_or(self.cfg.zones.len())
     }
 
@@ -342,8 +344,7 @@
                 *used = *used + *amounts;
             }
             let fresh = m.phase == Phase::Up && now < m.last_seen + quiet;
-            if m.phase == Phase::Lost
-                || (m.phase == Phase::Up && !fresh)
+            if (m.phase == Phase::Up && !fresh)
                 || m.deleting
                 || m.faulty
                 || m.notice.is_some()
@@ -369,6 +370,8 @@
                 images: (first, plan.images.len() as u32),
                 latest: None,
                 failed: !m.failed_jobs.is_empty(),
+                // Its lease has lapsed, but its zone is cut off and it may be back.
+                returning: m.phase == Phase::Lost,
                 wanted: false,
             });
         }
@@ -400,7 +403,7 @@
                 for spot in [true, false] {
                     let price = if spot { t.spot_price } else { t.price };
                     let offer = Offer { machine_type: t.name.clone(), zone: z.clone(), spot };
-                    if (spot && price <= 0.0) || self.rents.refused(&offer, now) {
+                    if (spot && price <= 0.0) || self.rents.refused(&offer, now) || self.zone_cut(z) {
                         continue;
                     }
                     offers.push(OfferView { offer, kind, zone, spot, cost: price * burden });
@@ -739,6 +742,7 @@
             && needs.zone.is_none_or(|z| z == bin.zone)
             && (needs.spec.spot || !bin.spot)
             && !(needs.spare_ordinary && !bin.spot && bin.empty)
+            && !(bin.returning && needs.spec.priority == Priority::Production)
             && (needs.suspect || !bin.failed || !self.failed_on(bin, &needs.id))
     }
 
@@ -931,6 +935,7 @@
             images: (0, 0),
             latest: None,
             failed: false,
+            returning: false,
             wanted: false,
         }
     }
--- a/src/entitlement.rs
+++ b/src/entitlement.rs
@@ -21,7 +21,7 @@
 use crate::time::Micros;
 
 /// How long a promise lasts.
-pub const PROMISE: Micros = Micros::from_secs(3);
+pub const PROMISE: Micros = Micros::from_secs(2);
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Peer {
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -284,6 +284,11 @@
         let ok = if what == "most" { w.machines.len() <= n } else { w.machines.len() == n };
         return ok.then_some(()).ok_or(format!("{} machines", w.machines.len()));
     }
+    if id.as_str() == "rented" {
+        let n = w.charters.values().map(Vec::len).sum::<usize>();
+        let ok = what == "most" && n <= num(word(it)) as usize;
+        return ok.then_some(()).ok_or(format!("{n} machines were rented"));
+    }
     if id.as_str() == "recovery" {
         let ok = what == "most" && w.longest_recovery <= secs(word(it));
         return ok.then_some(()).ok_or(format!("a recovery took {:.1} s", w.longest_recovery.as_secs_f64()));
