--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -34,6 +34,7 @@
 use crate::time::Micros;
 use crate::wire::cloud::MachineType;
 use crate::wire::worker::Order;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tracing::info;
 
@@ -180,6 +181,8 @@
     move_budget: f64,
     moves_earned: Micros,
     next_fleet_line: Micros,
+    /// Machines, jobs, bins and slots looked at so far; scenarios assert that it stays in bounds.
+    looks: Cell<u64>,
     /// Zones of which most machines fell silent together, by their place in the settings' list.
     cut_zones: Vec<bool>,
     /// No replica is moved before this.
@@ -227,6 +230,7 @@
             move_budget: 0.0,
             moves_earned: now,
             next_fleet_line: Micros::ZERO,
+            looks: Cell::new(0),
             cut_zones: Vec::new(),
             next_move: Micros::ZERO,
         };
@@ -333,6 +337,7 @@
         self.last_settled = now;
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
+            self.looked_at(4 * self.machines.len());
             self.note_cut_zones(now);
             self.lapse_leases(now);
             self.give_up_silent(now);
@@ -359,6 +364,15 @@
         if self.changed { tick.min(self.next_plan) } else { tick }
     }
 
+    /// What has been looked at so far: machines, jobs, bins, slots.
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
+    fn looked_at(&self, n: usize) {
+        self.looks.set(self.looks.get() + n as u64);
+    }
+
     /// Plans made so far.
     pub fn plans(&self) -> u64 {
         self.plans
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -187,6 +187,7 @@
     /// Makes a plan, starts what it can, and says which machines to rent.
     pub(super) fn plan(&mut self, now: Micros) -> Demand {
         self.plans += 1;
+        self.looked_at(self.jobs.len() + 2 * self.machines.len());
         let order = self.order();
         let mut plan = self.new_plan(&order, now);
         // A task on a machine whose job we don't know may belong to any team: until it is gone
@@ -615,6 +616,7 @@
             return;
         }
         plan.reservations += 1;
+        self.looked_at(plan.bins.len());
         let holds: Vec<u32> = plan.kinds.iter().map(|k| k.holds(&needs.task)).collect();
         let zones = if needs.spec.one_zone { self.cfg.zones.len() + 1 } else { 1 };
         let mut fits: Vec<Vec<(u32, u32, usize)>> = vec![Vec::new(); zones];
@@ -682,6 +684,7 @@
         for from in 0..hosts.len().min(MOST_DRAIN_LOOKS) {
             let bin = &plan.bins[hosts[from].1];
             let Some(m) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else { continue };
+            self.looked_at(hosts.len());
             let Some(drain) = self.drain_of(m, now) else {
                 continue;
             };
@@ -753,6 +756,7 @@
 
     /// All bins that have room for a task of the job, best first.
     fn candidates(&self, needs: &Needs, plan: &Plan, zone: Option<usize>) -> Candidates {
+        self.looked_at(plan.open.len());
         let zones = if needs.cares_for_zones() { self.cfg.zones.len() + 1 } else { 1 };
         let mut scored: Vec<Vec<(f64, usize)>> = vec![Vec::new(); zones];
         for &i in &plan.open {
@@ -779,6 +783,7 @@
             return None;
         }
         plan.preempt_searches += 1;
+        self.looked_at(plan.bins.len());
         let mut best: Option<Room> = None;
         for (i, bin) in plan.bins.iter().enumerate() {
             if !bin.ready
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -140,6 +140,8 @@
             // Everything of earlier sessions is gone, and so are their late direct orders.
             self.clear_slots(id);
         }
+        let slots = self.machines.get(id).map_or(0, |m| m.slots().len());
+        self.looked_at(1 + report.tasks.len() + slots);
         let mut listed = Vec::with_capacity(report.tasks.len());
         for t in &report.tasks {
             let Some(task) = TaskId::parse(&t.task) else {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -73,6 +73,10 @@
     pub saved: Micros,
 }
 
+/// With more machines than this, whole-world checks are made a few times a second of virtual time
+/// instead of at each step. What is checked at a task's start is always checked.
+pub const LARGE: usize = 100;
+
 pub struct World {
     pub now: Micros,
     queue: BinaryHeap<Reverse<Timed>>,
@@ -96,6 +100,10 @@
     pub leaders: u32,
     /// From a grant until all registered machines were accounted for.
     pub longest_recovery: Micros,
+    /// Most that a report without a plan, and a tick, looked at.
+    pub report_looks: u64,
+    pub tick_looks: u64,
+    next_check: Micros,
     pub trace: bool,
 }
 
@@ -134,6 +142,9 @@
             broken: Vec::new(),
             leaders: 0,
             longest_recovery: Micros::ZERO,
+            report_looks: 0,
+            tick_looks: 0,
+            next_check: Micros::ZERO,
             trace: std::env::var_os("SIM_TRACE").is_some(),
         }
     }
@@ -155,7 +166,10 @@
             let Some(Reverse(t)) = self.queue.pop() else { break };
             self.now = t.0;
             (t.2)(self);
-            self.check_rules();
+            if self.machines.len() <= LARGE || self.now >= self.next_check {
+                self.check_rules();
+                self.next_check = self.now + Micros::from_millis(250);
+            }
             if !self.broken.is_empty() {
                 return;
             }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -144,6 +144,28 @@
             w.jobs.insert(id.clone(), truth);
             w.submit(id);
         }
+        "many" => {
+            let (n, kind) = (num(word(&mut it)) as usize, word(&mut it));
+            let p = pairs(&mut it);
+            for _ in 0..n {
+                let id = JobId::new(&format!("req-{:06}", 1000 + w.jobs.len()));
+                w.jobs.insert(id.clone(), job(&id, kind, &p));
+                w.submit(id);
+            }
+        }
+        "wave" => {
+            let (what, n) = (word(&mut it), num(word(&mut it)) as usize);
+            let until = w.now + secs(pairs(&mut it).get("for").copied().unwrap_or("0"));
+            let up = w.machines.values().filter(|m| m.up && (what == "hang" || m.spot));
+            // Every third, so that a wave goes through the whole fleet.
+            let hit: Vec<MachineId> = up.map(|m| m.id.clone()).step_by(3).take(n).collect();
+            for id in hit {
+                match w.machines.get_mut(&id) {
+                    Some(m) if what == "hang" => m.hung_until = until,
+                    _ => w.remove_machine(&id),
+                }
+            }
+        }
         "cancel" => w.cancel(JobId::new(word(&mut it))),
         "crash" => {
             let who = word(&mut it);
@@ -284,6 +306,11 @@
         let ok = if what == "most" { w.machines.len() <= n } else { w.machines.len() == n };
         return ok.then_some(()).ok_or(format!("{} machines", w.machines.len()));
     }
+    if id.as_str() == "looks" {
+        let looks = if what == "report" { w.report_looks } else { w.tick_looks };
+        let most = num(word(it)) as u64;
+        return (looks <= most).then_some(()).ok_or(format!("{looks} looks"));
+    }
     if id.as_str() == "rented" {
         let n = w.charters.values().map(Vec::len).sum::<usize>();
         let ok = what == "most" && n <= num(word(it)) as usize;
