--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -508,6 +508,11 @@
         }
         // One that the cloud no longer lists is most likely gone: the list proves nothing, but the
         // deletion does. It is asked first, and given up if it does not answer either.
+        // A new leader gives up the last few that did not answer it: work of the whole fleet waits for
+        // them. Were they many, they might be cut off or hang, and be back.
+        let open = watched.iter().filter(|m| self.recovering && self.unaccounted(m)).count();
+        let mute = watched.iter().filter(|m| self.recovering && self.unaccounted(m) && m.unreachable).count();
+        let last_few = open > 0 && open == mute && open * 50 <= watched.len();
         let overdue_after = Micros(self.cfg.report.0 * 5 / 4) + Micros::from_secs(1);
         let unlisted_after = self.cfg.report.times(2);
         let unlisted = |m: &Machine| self.listed.as_ref().is_some_and(|l| !l.contains(&m.id));
@@ -515,7 +520,8 @@
             .iter()
             .filter(|m| {
                 let quiet = now.saturating_sub(since(m));
-                (quiet >= silent_after && !self.zone_cut(&m.zone))
+                (last_few && self.unaccounted(m))
+                    || (quiet >= silent_after && !self.zone_cut(&m.zone))
                     || unlisted(m) && (m.unreachable || quiet >= unlisted_after)
             })
             .map(|m| m.id.clone())
--- a/tests/sim/controller.rs
+++ b/tests/sim/controller.rs
@@ -414,7 +414,7 @@
                 self.after(Micros::from_secs(3), move |w| {
                     let now = w.now;
                     if let Some(l) = w.lead(i, process)
-                        && l.core.machines.get(&m).is_some_and(|x| x.direct_open && x.session == session)
+                        && l.core.machines.get(&m).is_some_and(|x| x.direct_open && x.session.max(1) == session)
                     {
                         l.core.direct_failed(&m, true, now);
                     }
