--- a/src/core/records.rs
+++ b/src/core/records.rs
@@ -200,10 +200,11 @@
             self.register.add(id, address, kind, self.cfg.value_bytes, || page_key(counter, token));
         }
         while draft.has_room(1, self.cfg.value_bytes) || (draft.writes.is_empty() && draft.most >= 1) {
-            let Some((key, mark, page)) = self.register.next(removals) else { return };
-            let bytes = page.as_ref().map_or(0, RegisterPage::bytes);
-            let write =
-                if mark == Mark(u64::MAX) { Write::DropPage { key } } else { Write::Page { key, mark, page } };
+            let Some(write) = self.register.next(removals) else { return };
+            let bytes = match &write {
+                Write::Page { page: Some(page), .. } => page.bytes(),
+                _ => 0,
+            };
             draft.push(write, 1, bytes);
         }
     }
--- a/src/core/register.rs
+++ b/src/core/register.rs
@@ -5,6 +5,7 @@
 //! an older page back. (Guards `ran_twice`: a machine whose entry was lost would not be waited
 //! for.) A page whose write went unanswered is left behind for a new one.
 
+use super::records::Write;
 use crate::ids::{MachineId, Mark};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -149,20 +150,20 @@
 
     /// The next page to be written: one with additions, or else one with removals if they are
     /// asked for. An empty page is dropped.
-    pub fn next(&mut self, removals: bool) -> Option<(String, Mark, Option<RegisterPage>)> {
+    pub fn next(&mut self, removals: bool) -> Option<Write> {
         // What a dropped page held must stand elsewhere first, or go there with the same write.
         if removals
             && !self.pages.values().any(|p| p.added)
             && let Some(key) = self.drops.pop()
         {
-            return Some((key, Mark(u64::MAX), None));
+            return Some(Write::DropPage { key });
         }
         let due = |p: &&mut Page| !p.writing && (p.added || (removals && p.removed));
         let (key, page) = self.pages.iter_mut().find(|(_, p)| due(p))?;
         page.writing = true;
         (page.added, page.removed) = (false, false);
         let content = (!page.content.machines.is_empty()).then(|| page.content.clone());
-        Some((key.clone(), page.mark, content))
+        Some(Write::Page { key: key.clone(), mark: page.mark, page: content })
     }
 
     /// A write of a page went through; returns the machines that are now registered.
