Tidy after a reading: one look-up of zones, one pass over the loads, a comment set right

A plan passed over all machines once more for attempts of unknown jobs although filling the bins reads the same sums; a zone's place was looked up by two pieces of code; a comment named a scenario that does not exist. No change in behaviour.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// A zone's place in the settings' list; unknown ones share the place after the last.
+    fn zone_index(&self, name: &str) -> usize {
+        self.zones.iter().position(|z| z == name).unwrap_or(self.zones.len())
+    }
+
     /// A worker's lease is over this long after we last answered it.
     pub fn lease_bound(&self) -> Micros {
         self.lease.with_drift() + self.margin
@@ -471,7 +476,7 @@
         let mut seen = vec![(0usize, 0usize); zones];
         for m in self.machines.values().filter(|m| m.registered && !m.deleting) {
             let since = m.last_seen.max(self.resumed);
-            let (all, silent) = &mut seen[self.zone_index(&m.zone)];
+            let (all, silent) = &mut seen[self.cfg.zone_index(&m.zone)];
             *all += 1;
             *silent += usize::from(m.phase == Phase::Lost || now >= since + quiet);
         }
@@ -488,7 +493,7 @@
     }
 
     pub(super) fn zone_cut(&self, zone: &str) -> bool {
-        self.cut_zones.get(self.zone_index(zone)).copied().unwrap_or(false)
+        self.cut_zones.get(self.cfg.zone_index(zone)).copied().unwrap_or(false)
     }
 
     /// A machine that has fallen silent while most others report is given up: its deletion proves
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -90,6 +90,8 @@
     demand: Vec<u32>,
     /// Use by team.
     used: Vec<Amounts>,
+    /// Some live attempt is of a job that the ledger doesn't know.
+    strange: bool,
     starts: Vec<Start>,
     /// Tasks to be stopped for more important ones.
     victims: Vec<(MachineId, TaskKey)>,
@@ -192,7 +194,7 @@
         let mut plan = self.new_plan(&order, now);
         // A task on a machine whose job we don't know may belong to any team: until it is gone
         // (it has been told to stop) nothing that counts against a limit is started.
-        let strange = self.machines.values_mut().any(|m| m.load(&self.cfg.teams).strange);
+        let strange = plan.strange;
         let unbounded = !self.charge_unknown(&mut plan);
         for id in order {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -240,6 +242,7 @@
             offers: self.offers(now),
             demand: Vec::new(),
             used: vec![Amounts::default(); self.cfg.teams.len()],
+            strange: false,
             starts: Vec::new(),
             victims: Vec::new(),
             reservations: 0,
@@ -271,16 +274,11 @@
         self.cfg.teams.iter().position(|t| t.name == name)
     }
 
-    /// A zone's place in the settings' list; unknown ones share the place after the last.
-    pub(super) fn zone_index(&self, name: &str) -> usize {
-        self.cfg.zones.iter().position(|z| z == name).unwrap_or(self.cfg.zones.len())
-    }
-
     /// While recovering, machines that have not reported may hold tasks of any team: of its
     /// unfinished jobs, and of jobs that were cancelled under an earlier holder, which no record
     /// names any more. They hold no more than the machines have, for workers refuse what has no
     /// room; so that is charged to every team. False if even that is not known.
-    /// (Guards `quota`; scenarios cancelled_before_takeover, recovery_charges_capacity.)
+    /// (Guards `quota`; scenario cancelled_before_takeover.)
     fn charge_unknown(&self, plan: &mut Plan) -> bool {
         if !self.recovering() {
             return true;
@@ -340,6 +338,7 @@
         let Core { machines, cfg, types, token, .. } = self;
         for m in machines.values_mut() {
             let load = m.load(&cfg.teams);
+            plan.strange |= load.strange;
             for (team, amounts) in &load.teams {
                 let used = &mut plan.used[usize::from(*team)];
                 *used = *used + *amounts;
@@ -361,7 +360,7 @@
                 machine: Some(m.id.clone()),
                 ready: fresh && m.registered && m.settled(*token),
                 kind,
-                zone: cfg.zones.iter().position(|z| *z == m.zone).unwrap_or(cfg.zones.len()),
+                zone: cfg.zone_index(&m.zone),
                 spot: m.spot,
                 free: plan.kinds[kind] - load.used,
                 empty: load.live == 0,
@@ -379,7 +378,7 @@
         // Machines that are being rented right now.
         for (offer, n) in self.rents.open() {
             if let Some(kind) = self.types.iter().position(|t| t.name == offer.machine_type) {
-                let zone = self.zone_index(&offer.zone);
+                let zone = self.cfg.zone_index(&offer.zone);
                 for _ in 0..n {
                     plan.bins.push(Bin::rented(kind, zone, offer.spot, plan.kinds[kind]));
                 }
@@ -391,14 +390,14 @@
     fn offers(&self, now: Micros) -> Vec<OfferView> {
         let mut here = vec![0u32; self.cfg.zones.len() + 1];
         for m in self.machines.values() {
-            here[self.zone_index(&m.zone)] += 1;
+            here[self.cfg.zone_index(&m.zone)] += 1;
         }
         let all = f64::from(here.iter().sum::<u32>().max(1));
         let mut offers = Vec::new();
         for (kind, t) in self.types.iter().enumerate() {
             let zones = if t.zones.is_empty() { &self.cfg.zones } else { &t.zones };
             for z in zones {
-                let zone = self.zone_index(z);
+                let zone = self.cfg.zone_index(z);
                 // Zones that hold less of the fleet are preferred, slightly.
                 let burden = 1.0 + 0.4 * f64::from(here[zone]) / all + 0.001 * t.boot_s;
                 for spot in [true, false] {
@@ -422,7 +421,7 @@
             task: job.task,
             image: job.image,
             team: self.team_index(&job.spec.team),
-            zone: job.spec.zone.as_ref().map(|z| self.zone_index(z)),
+            zone: job.spec.zone.as_ref().map(|z| self.cfg.zone_index(z)),
             kinds: self
                 .types
                 .iter()
@@ -435,7 +434,7 @@
         if needs.cares_for_zones() {
             for (machine, _) in job.places.values().flatten() {
                 if let Some(m) = self.machines.get(machine) {
-                    needs.zones[self.zone_index(&m.zone)] += 1;
+                    needs.zones[self.cfg.zone_index(&m.zone)] += 1;
                 }
             }
         }
