--- a/src/core/amounts.rs
+++ b/crates/hopyoke-core/src/amounts.rs
@@ -1,7 +1,7 @@
 //! What tasks take and machines offer.
 
-use crate::wire::cloud::MachineType;
-use crate::wire::user::JobSpec;
+use hopyoke_wire::cloud::MachineType;
+use hopyoke_wire::user::JobSpec;
 use std::ops::{Add, Sub};
 
 /// Sums of decimal amounts may miss by this much.
@@ -86,7 +86,7 @@
 
 /// Why a job can never run, if so. Every node decides this by itself when it accepts a job.
 pub fn never_runs(spec: &JobSpec, types: &[MachineType], zones: &[String], teams: &[Team]) -> Option<String> {
-    use crate::wire::user::JobKind;
+    use hopyoke_wire::user::JobKind;
     let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
         return Some(format!("crew: no team is named '{}'", spec.team));
     };
--- a/src/entitlement.rs
+++ b/crates/hopyoke-core/src/entitlement.rs
@@ -18,7 +18,7 @@
 //!   since the leader last heard of all changes has forgotten some, so its promise does not
 //!   count. (Guards `ran_cancelled`.)
 
-use crate::time::Micros;
+use hopyoke_types::Micros;
 
 /// How long a promise lasts.
 pub const PROMISE: Micros = Micros::from_secs(2);
--- a/src/core/fleet.rs
+++ b/crates/hopyoke-core/src/fleet.rs
@@ -1,11 +1,11 @@
 //! Machines and what is known to be, or may be, on them.
 
 use super::amounts::Amounts;
-use crate::ids::{Attempt, JobId, MachineId, TaskId, Token};
-use crate::time::Micros;
-use crate::wire::user::JobSpec;
-use crate::wire::user::{JobKind, Priority};
-use crate::wire::worker::{ExitReason, TaskState};
+use hopyoke_types::Micros;
+use hopyoke_types::{Attempt, JobId, MachineId, TaskId, Token};
+use hopyoke_wire::user::JobSpec;
+use hopyoke_wire::user::{JobKind, Priority};
+use hopyoke_wire::worker::{ExitReason, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
--- a/src/core/mod.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -9,7 +9,9 @@
 //! - `records`: what must be written to the state service, in batches.
 
 mod amounts;
+mod batch;
 mod check;
+pub mod entitlement;
 mod fleet;
 mod job;
 mod plan;
@@ -20,20 +22,19 @@
 mod reports;
 
 pub use amounts::{Amounts, Team, never_runs};
+pub use batch::{Batch, BatchError, RegisterPage, Write};
 pub use check::Verdict;
 pub use fleet::{Load, Machine, Phase, Slot, SlotState};
 pub use job::{EndRecord, Job, JobRecord};
 pub use ranges::Ranges;
-pub use records::{Batch, BatchError, Write};
-pub use register::RegisterPage;
 pub use rent::RentOutcome;
 pub use reports::Answer;
 
-use crate::ids::{Attempt, JobId, MachineId, Mark, Token};
-use crate::settings::Settings;
-use crate::time::Micros;
-use crate::wire::cloud::MachineType;
-use crate::wire::worker::Order;
+use hopyoke_settings::Settings;
+use hopyoke_types::Micros;
+use hopyoke_types::{Attempt, JobId, MachineId, Mark, Token};
+use hopyoke_wire::cloud::MachineType;
+use hopyoke_wire::worker::Order;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tracing::info;
@@ -492,7 +493,7 @@
         self.cut_zones = cut;
     }
 
-    pub(super) fn zone_cut(&self, zone: &str) -> bool {
+    fn zone_cut(&self, zone: &str) -> bool {
         self.cut_zones.get(self.cfg.zone_index(zone)).copied().unwrap_or(false)
     }
 
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/consolidate.rs
@@ -0,0 +1,106 @@
+//! Replicas are moved together, so that whole machines fall free.
+
+use super::TaskKey;
+use super::view::{Bin, Plan};
+use crate::Core;
+use crate::amounts::Amounts;
+use crate::fleet::{Machine, Slot};
+use hopyoke_types::Micros;
+use tracing::info;
+
+/// The share of all replicas' time that may be lost to moving them.
+const MOVE_SHARE: f64 = 0.0015;
+/// What a move costs a replica whose image is there, in seconds.
+const MOVE_S: f64 = 1.5;
+/// Machines looked at for draining in one round.
+const MOST_DRAIN_LOOKS: usize = 64;
+
+impl Core {
+    /// Moves replicas off machines that hold little else than free room, to ones that are fuller:
+    /// the machine can then hold a gang, or be returned. A move costs the replica a moment, so a
+    /// small share of all replicas' time is what moves may take. (Moving replicas to drain a
+    /// machine is allowed.)
+    pub(super) fn consolidate(&mut self, plan: &Plan, now: Micros) {
+        let replicas: u32 = plan.bins.iter().map(|b| b.replicas).sum();
+        // A small deployment earns a move a minute.
+        let earned = f64::from(replicas.max(16)) * MOVE_SHARE * (now - self.moves_earned).as_secs_f64();
+        self.moves_earned = now;
+        // At most what 20 s earn is kept, but enough for one move.
+        let most = (f64::from(replicas) * MOVE_SHARE * 20.0).max(MOVE_S + 30.0);
+        self.move_budget = (self.move_budget + earned).min(most);
+        if now < self.next_move || self.recovering() {
+            return;
+        }
+        self.next_move = now + Micros::from_secs(2);
+        let usage =
+            |b: &Bin| 1.0 - (b.free.gpus + b.free.cpus) / (plan.kinds[b.kind].gpus + plan.kinds[b.kind].cpus);
+        let room = |b: &Bin| b.free.gpus > 0.0 || plan.kinds[b.kind].gpus == 0.0 && b.free.cpus > 0.0;
+        let mut hosts: Vec<(f64, usize)> = plan
+            .bins
+            .iter()
+            .enumerate()
+            .filter(|(_, b)| b.ready && b.replicas > 0 && room(b))
+            .map(|(i, b)| (usage(b), i))
+            .collect();
+        hosts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free: Vec<Amounts> = hosts.iter().map(|h| plan.bins[h.1].free).collect();
+        let mut moves = Vec::new();
+        // Each look searches all hosts; what is not reached now is reached when others have gone.
+        for from in 0..hosts.len().min(MOST_DRAIN_LOOKS) {
+            let bin = &plan.bins[hosts[from].1];
+            let Some(m) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else { continue };
+            self.looked_at(hosts.len());
+            let Some(drain) = self.drain_of(m, now) else {
+                continue;
+            };
+            let mut targets = Vec::new();
+            let mut cost = 0.0;
+            for (task, attempt) in drain {
+                let Some(mut needs) = self.needs(&task.job) else { break };
+                needs.zones[bin.zone] = needs.zones[bin.zone].saturating_sub(1);
+                let fits = |i: usize| {
+                    let b = &plan.bins[hosts[i].1];
+                    needs.task.fits_in(&free[i]) && self.allowed(&needs, b) && needs.zone_allows(b.zone)
+                };
+                let image = |i: &usize| plan.has_image(&plan.bins[hosts[*i].1], needs.image);
+                // The fullest first. Each drained machine is one machine less, so this comes to an end.
+                let fuller = || (from + 1..hosts.len()).rev();
+                let Some(to) = fuller().filter(image).find(|&i| fits(i)).or_else(|| fuller().find(|&i| fits(i)))
+                else {
+                    break;
+                };
+                let fetch = self.types[plan.bins[hosts[to].1].kind].fetch_gb_per_s;
+                cost += MOVE_S + if image(&to) { 0.0 } else { needs.spec.image_gb / fetch.max(0.05) };
+                free[to] = free[to] - needs.task;
+                targets.push((to, needs.task, (m.id.clone(), task, attempt, needs.spec.save_s)));
+            }
+            if targets.len() as u32 == bin.replicas && cost <= self.move_budget {
+                self.move_budget -= cost;
+                // Nothing is moved to a machine that is being drained.
+                free[from] = Amounts::default();
+                moves.extend(targets.into_iter().map(|t| t.2));
+            } else {
+                for (to, task, _) in targets {
+                    free[to] = free[to] + task;
+                }
+            }
+        }
+        for (machine, task, attempt, grace) in moves {
+            info!(machine = %machine, task = %task, "moving replica to drain machine");
+            self.stop_slot(&machine, &task.job, task.index, attempt, grace);
+        }
+    }
+
+    /// The replicas whose leaving would empty a machine, if it holds nothing else and all of them
+    /// have run for a while.
+    pub(super) fn drain_of(&self, m: &Machine, now: Micros) -> Option<Vec<TaskKey>> {
+        let settled = Micros::from_secs(40);
+        let load = m.kept_load()?;
+        if load.live == 0 || load.live != load.replicas {
+            return None;
+        }
+        let ran = |s: &Slot| s.stop.is_none() && s.running_since.is_some_and(|t| now >= t + settled);
+        let live = || m.slots().iter().filter(|(_, s)| s.is_live());
+        live().all(|(_, s)| ran(s)).then(|| live().map(|(k, _)| k.clone()).collect())
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -0,0 +1,72 @@
+//! Arrays and services: each task gets a place for itself.
+
+use super::Start;
+use super::view::Plan;
+use crate::Core;
+use crate::check::Verdict;
+use hopyoke_types::{JobId, Micros};
+use hopyoke_wire::user::Priority;
+
+impl Core {
+    /// Arrays and services: each task for itself.
+    pub(super) fn place_each(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
+        let (Some(mut needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
+        let mut unknown = false;
+        let mut startable = Vec::new();
+        for index in job.done.missing(job.spec.tasks).take(self.cfg.window()) {
+            match self.check(job, index) {
+                Verdict::StartAnew => startable.push(index),
+                Verdict::Unknown => unknown = true,
+                Verdict::Reconnect | Verdict::AcceptResult => {}
+            }
+        }
+        let mut left = startable.len() as u32;
+        // A zone rule must not be broken by tasks that nobody has reported yet.
+        if unknown && (needs.spec.spread || needs.spec.one_zone) {
+            return "recovery";
+        }
+        needs.spare_ordinary =
+            needs.spec.spot && plan.best_offer(&needs, None, 1).is_some_and(|o| plan.offers[o].spot);
+        let mut candidates = self.candidates(&needs, plan, None);
+        let production = needs.spec.priority == Priority::Production;
+        for index in startable {
+            if !plan.charge(&needs, 1, &self.cfg.teams) {
+                return "its team's limit";
+            }
+            let found = candidates.best(&needs, plan, |b| plan.score(&needs, b));
+            let bin = match found {
+                Some(bin) if plan.bins[bin].ready => bin,
+                _ => {
+                    if production && let Some(zone) = self.preempt(&needs, plan, now) {
+                        needs.zones[zone] += 1;
+                        left -= 1;
+                        continue;
+                    }
+                    match found {
+                        Some(bin) => bin,
+                        None => match plan.open_new(&needs, None, left) {
+                            Some(bin) => {
+                                candidates.put_first(bin, plan.bins[bin].zone);
+                                bin
+                            }
+                            None => {
+                                plan.refund(&needs, 1);
+                                return "machines";
+                            }
+                        },
+                    }
+                }
+            };
+            left -= 1;
+            let image = plan.has_image(&plan.bins[bin], needs.image);
+            plan.take(bin, &mut needs);
+            if plan.bins[bin].ready
+                && let Some(machine) = plan.bins[bin].machine.clone()
+            {
+                let attempt = self.new_attempt();
+                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
+            }
+        }
+        if unknown { "recovery" } else { "" }
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/gang.rs
@@ -0,0 +1,164 @@
+//! Gangs: all tasks get places at once, or machines are reserved until they can.
+
+use super::Start;
+use super::needs::Needs;
+use super::view::Plan;
+use crate::Core;
+use crate::amounts::Amounts;
+use crate::check::Verdict;
+use hopyoke_types::{JobId, Micros};
+use std::cmp::Reverse;
+use tracing::debug;
+
+/// Each reservation sorts all machines, so only the gangs that are next in line make one. More
+/// would hold back machines for gangs whose turn is far off anyway.
+const MOST_RESERVATIONS: usize = 16;
+
+impl Core {
+    /// Gangs: all tasks at once, or the replacements that a waiting gang lacks.
+    pub(super) fn place_gang(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
+        let (Some(needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
+        let n = job.spec.tasks;
+        let missing: Vec<u32> = (0..n).filter(|i| !job.places.contains_key(i)).collect();
+        if missing.is_empty() || job.is_done() {
+            return "";
+        }
+        // Tasks of the old attempt stay where they are until they exit: nothing new before that.
+        if job.gang_failing || (job.gang_started && missing.len() < n as usize) {
+            return "its old attempt to end";
+        }
+        if missing.iter().any(|&i| self.check(job, i) != Verdict::StartAnew) {
+            return "recovery";
+        }
+        let anew = missing.len() == n as usize;
+        let term = job.term;
+        let count = missing.len() as u32;
+        if !plan.charge(&needs, count, &self.cfg.teams) {
+            return "its team's limit";
+        }
+        let Some(bins) = self.choose_all(&needs, plan, count) else {
+            plan.refund(&needs, count);
+            self.reserve(&needs, plan, count);
+            return "machines";
+        };
+        if !bins.iter().all(|&b| plan.bins[b].ready) {
+            return "machines to boot";
+        }
+        let attempt = if anew { self.new_attempt() } else { term };
+        if anew && let Some(job) = self.jobs.get_mut(id) {
+            // Written before any of its tasks is told to start.
+            job.term = attempt;
+            job.gang_started = false;
+            let waited_ms = (now - job.seen_at).as_millis();
+            let (class, tasks, waited_for) = (&job.spec.class, job.spec.tasks, job.waited_for);
+            let warm = bins.iter().filter(|b| plan.had_image(&plan.bins[**b], needs.image)).count();
+            debug!(job = %id, class, tasks, waited_ms, waited_for, warm, first = term.0 == 0, "gang start");
+            self.writes.note(id);
+        }
+        for (index, bin) in missing.into_iter().zip(bins) {
+            if let Some(machine) = plan.bins[bin].machine.clone() {
+                let image = plan.had_image(&plan.bins[bin], needs.image);
+                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
+            }
+        }
+        ""
+    }
+
+    /// Finds room for `count` tasks at once, in one zone if the job asks for it. Room on machines
+    /// that are not ready yet is taken in the plan, so that it is kept for this gang.
+    pub(super) fn choose_all(&self, needs: &Needs, plan: &mut Plan, count: u32) -> Option<Vec<usize>> {
+        let zones: Vec<Option<usize>> = if needs.spec.one_zone {
+            let mut room = vec![(0u32, 0u32, 0u32); self.cfg.zones.len()];
+            for &i in &plan.open {
+                let b = &plan.bins[i];
+                let Some(room) = room.get_mut(b.zone) else { continue };
+                let holds = b.free.holds(&needs.task);
+                if holds > 0 && self.allowed(needs, b) {
+                    room.0 += if b.ready { holds } else { 0 };
+                    room.1 += holds;
+                    room.2 += if b.ready && plan.has_image(b, needs.image) { holds } else { 0 };
+                }
+            }
+            let mut zones: Vec<usize> = (0..room.len()).collect();
+            // Where all can start now; among those where most have the image: the last to fetch it is
+            // the one that all wait for.
+            zones.sort_by_key(|&z| Reverse((room[z].0.min(count), room[z].1.min(count), room[z].2.min(count))));
+            zones.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        for zone in zones {
+            let mut taking = needs.clone();
+            let mut candidates = self.candidates(needs, plan, zone);
+            let mut taken: Vec<usize> = Vec::new();
+            let (bins, open, demand) = (plan.bins.len(), plan.open.len(), plan.demand.clone());
+            let mut undo = Vec::new();
+            for left in (1..=count).rev() {
+                let found = candidates.best(&taking, plan, |b| plan.score(&taking, b)).or_else(|| {
+                    let new = plan.open_new(&taking, zone, left)?;
+                    candidates.put_first(new, plan.bins[new].zone);
+                    Some(new)
+                });
+                let Some(bin) = found else { break };
+                if bin < bins {
+                    undo.push((bin, plan.bins[bin].before()));
+                }
+                plan.take(bin, &mut taking);
+                taken.push(bin);
+            }
+            if taken.len() == count as usize {
+                return Some(taken);
+            }
+            for (bin, before) in undo.into_iter().rev() {
+                plan.bins[bin].restore(before);
+            }
+            plan.bins.truncate(bins);
+            plan.open.truncate(open);
+            plan.demand = demand;
+        }
+        None
+    }
+
+    /// A gang that finds no room keeps lesser work off the machines that will hold it: without
+    /// this, single tasks take every place that falls free, and gangs starve. Machines without
+    /// replicas, which stay long, are chosen; the emptiest first, and in one zone if it must be.
+    pub(super) fn reserve(&self, needs: &Needs, plan: &mut Plan, count: u32) {
+        if plan.reservations >= MOST_RESERVATIONS {
+            return;
+        }
+        plan.reservations += 1;
+        self.looked_at(plan.bins.len());
+        let holds: Vec<u32> = plan.kinds.iter().map(|k| k.holds(&needs.task)).collect();
+        let zones = if needs.spec.one_zone { self.cfg.zones.len() + 1 } else { 1 };
+        let mut fits: Vec<Vec<(u32, u32, usize)>> = vec![Vec::new(); zones];
+        for (i, b) in plan.bins.iter().enumerate() {
+            if b.replicas == 0 && holds[b.kind] > 0 && self.allowed(needs, b) {
+                fits[b.zone.min(zones - 1)].push((b.free.holds(&needs.task), holds[b.kind], i));
+            }
+        }
+        let mut best: Option<(u32, u32, Vec<usize>)> = None;
+        for mut fits in fits {
+            fits.sort_unstable_by_key(|f| Reverse((f.0, f.1)));
+            let (mut room, mut now, mut taken) = (0, 0, Vec::new());
+            for (free, total, i) in fits {
+                if room >= count {
+                    break;
+                }
+                room += total;
+                now += free;
+                taken.push(i);
+            }
+            if best.as_ref().is_none_or(|b| (room.min(count), now) > (b.0, b.1)) {
+                best = Some((room.min(count), now, taken));
+            }
+        }
+        if let Some((room, _, taken)) = best
+            && room >= count
+        {
+            for i in taken {
+                plan.bins[i].free = Amounts::default();
+                plan.bins[i].wanted = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -0,0 +1,223 @@
+//! Placement inside the leased blocks, and the demand for machines that follows from it.
+//!
+//! Every plan is made anew: jobs in order of importance take room on machines that are up, then
+//! (in the plan only) on machines that boot, then on machines yet to be rented. So room that an
+//! important job waits for is not given to a lesser one.
+//!
+//! What a plan costs follows the work that waits, not the fleet: sums per machine are kept until
+//! its slots change, jobs that have all their places are passed over, and the bins are searched
+//! once per job, not once per task.
+
+mod consolidate;
+mod each;
+mod gang;
+mod needs;
+mod offers;
+mod preempt;
+mod view;
+mod wind_up;
+
+use super::Core;
+use super::amounts::{Amounts, Team};
+use super::fleet::{Slot, SlotState};
+use super::rent::Demand;
+use hopyoke_types::{Attempt, JobId, MachineId, Micros, TaskId};
+use hopyoke_wire::user::Priority;
+use hopyoke_wire::worker::TaskState;
+use tracing::{debug, info};
+use view::Plan;
+
+/// One attempt of one task.
+type TaskKey = (TaskId, Attempt);
+
+/// Work for which room was found.
+struct Start {
+    job: JobId,
+    index: u32,
+    machine: MachineId,
+    attempt: Attempt,
+    /// The machine has the image.
+    image: bool,
+}
+
+impl Core {
+    /// Makes a plan, starts what it can, and says which machines to rent.
+    pub(super) fn plan(&mut self, now: Micros) -> Demand {
+        self.plans += 1;
+        self.looked_at(self.jobs.len() + 2 * self.machines.len());
+        let order = self.order();
+        let mut plan = self.new_plan(&order, now);
+        // A task on a machine whose job we don't know may belong to any team: until it is gone
+        // (it has been told to stop) nothing that counts against a limit is started.
+        let strange = plan.strange;
+        let unbounded = !self.charge_unknown(&mut plan);
+        for id in order {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let why = if now < job.hold_until {
+                "its backoff"
+            } else if (strange || unbounded) && self.limited(&job.spec.team) {
+                "recovery"
+            } else if job.is_gang() {
+                self.place_gang(&id, &mut plan, now)
+            } else {
+                self.place_each(&id, &mut plan, now)
+            };
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.waits_for = why;
+                if !why.is_empty() {
+                    job.waited_for = why;
+                }
+            }
+        }
+        if now >= self.next_fleet_line {
+            self.next_fleet_line = now + Micros::from_secs(5);
+            plan.tell();
+        }
+        for s in std::mem::take(&mut plan.starts) {
+            self.start(s, now);
+        }
+        for (machine, (task, attempt)) in std::mem::take(&mut plan.victims) {
+            info!(machine = %machine, task = %task, "preempted for a production task");
+            self.stop_slot(&machine, &task.job, task.index, attempt, 0.0);
+        }
+        self.consolidate(&plan, now);
+        let offers = plan.offers.into_iter().zip(plan.demand).filter(|(_, n)| *n > 0);
+        Demand {
+            offers: offers.map(|(o, n)| (o.offer, n)).collect(),
+            wanted: plan.bins.into_iter().filter(|b| b.wanted).filter_map(|b| b.machine).collect(),
+        }
+    }
+
+    fn new_plan(&mut self, order: &[JobId], now: Micros) -> Plan {
+        let mut plan = Plan {
+            bins: Vec::with_capacity(self.machines.len() + 64),
+            open: Vec::new(),
+            images: Vec::new(),
+            kinds: self.types.iter().map(Amounts::of_type).collect(),
+            offers: self.offers(now),
+            demand: Vec::new(),
+            used: vec![Amounts::default(); self.cfg.teams.len()],
+            strange: false,
+            starts: Vec::new(),
+            victims: Vec::new(),
+            reservations: 0,
+            preempt_searches: 0,
+        };
+        plan.demand = vec![0; plan.offers.len()];
+        self.fill_bins(&mut plan, now);
+        // Bins without room even for the smallest waiting task need no second look.
+        let least = order.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.task).reduce(|a, b| Amounts {
+            cpus: a.cpus.min(b.cpus),
+            gpus: a.gpus.min(b.gpus),
+            memory_gb: a.memory_gb.min(b.memory_gb),
+        });
+        if let Some(least) = least {
+            plan.open = (0..plan.bins.len()).filter(|&i| least.fits_in(&plan.bins[i].free)).collect();
+        }
+        plan
+    }
+
+    fn limited(&self, team: &str) -> bool {
+        self.team(team).is_none_or(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+
+    fn team(&self, name: &str) -> Option<&Team> {
+        self.cfg.teams.iter().find(|t| t.name == name)
+    }
+
+    fn team_index(&self, name: &str) -> Option<usize> {
+        self.cfg.teams.iter().position(|t| t.name == name)
+    }
+
+    /// While recovering, machines that have not reported may hold tasks of any team: of its
+    /// unfinished jobs, and of jobs that were cancelled under an earlier holder, which no record
+    /// names any more. They hold no more than the machines have, for workers refuse what has no
+    /// room; so that is charged to every team. False if even that is not known.
+    /// (Guards `quota`; scenario cancelled_before_takeover.)
+    fn charge_unknown(&self, plan: &mut Plan) -> bool {
+        if !self.recovering() {
+            return true;
+        }
+        let mut most = Amounts::default();
+        for m in self.machines.values().filter(|m| m.registered && self.unaccounted(m)) {
+            let Some(t) = self.machine_type(&m.machine_type) else { return false };
+            most = most + Amounts::of_type(t);
+        }
+        for used in &mut plan.used {
+            *used = *used + most;
+        }
+        !self.register.blind()
+    }
+
+    /// Jobs with work that has no place, in the order in which they get room.
+    fn order(&mut self) -> Vec<JobId> {
+        let mut jobs: Vec<(u64, &JobId)> = self.jobs.iter().map(|(id, j)| (j.accepted_us, id)).collect();
+        jobs.sort_unstable();
+        let mut claimed = vec![Amounts::default(); self.cfg.teams.len()];
+        let mut keyed = Vec::new();
+        let mut settled = Vec::new();
+        for (accepted_us, id) in jobs {
+            let job = &self.jobs[id];
+            let spec = &job.spec;
+            let left = f64::from(spec.tasks - job.done.count().min(spec.tasks));
+            let within = self.team_index(&spec.team).is_some_and(|t| {
+                claimed[t] = claimed[t] + job.task.times(left);
+                self.cfg.teams[t].guarantees(&claimed[t])
+            });
+            if job.unplaced() == 0 {
+                if !job.waits_for.is_empty() {
+                    settled.push(id.clone());
+                }
+                continue;
+            }
+            let class = match (spec.priority, within) {
+                (Priority::Production, _) => 0,
+                (_, true) => 1,
+                (Priority::High, _) => 2,
+                (Priority::Normal, _) => 3,
+                (Priority::Low, _) => 4,
+            };
+            keyed.push(((class, spec.priority, accepted_us), id.clone()));
+        }
+        keyed.sort_unstable();
+        for id in settled {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.waits_for = "";
+            }
+        }
+        keyed.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Puts an attempt on a machine; its start order goes out with the next orders.
+    fn start(&mut self, s: Start, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&s.job) else { return };
+        if job.term.0 == 0 {
+            // Its first start is recorded before it is commanded.
+            job.term = s.attempt;
+            let waited_ms = (now - job.seen_at).as_millis();
+            let (class, tasks, waited_for) = (&job.spec.class, job.spec.tasks, job.waited_for);
+            debug!(job = %s.job, class, tasks, waited_ms, waited_for, image = s.image, "first start");
+            self.writes.note(&s.job);
+        }
+        let spec = job.spec.clone();
+        let Some(m) = self.machines.get_mut(&s.machine) else { return };
+        let task = TaskId { job: s.job, index: s.index };
+        let slot = Slot::new(SlotState::Sent, Some(spec), now);
+        m.slots_mut().insert((task.clone(), s.attempt), slot);
+        m.idle_since = None;
+        self.orders_due.insert(s.machine.clone());
+        self.place_add(&s.machine, &task, s.attempt);
+    }
+
+    /// How many of a job's tasks run, as far as we know.
+    pub fn running(&self, id: &JobId) -> u32 {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let runs = |index: u32, machine: &MachineId, attempt: Attempt| {
+            let key = (TaskId { job: id.clone(), index }, attempt);
+            let slot = self.machines.get(machine).and_then(|m| m.slots().get(&key));
+            slot.is_some_and(|s| matches!(s.state, SlotState::Live(TaskState::Running | TaskState::Saving)))
+        };
+        let places = job.places.iter().flat_map(|(i, p)| p.iter().map(move |(m, a)| (*i, m, *a)));
+        places.filter(|(i, m, a)| runs(*i, m, *a)).count() as u32
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/needs.rs
@@ -0,0 +1,145 @@
+//! What the placement of one job must look at, and the bins that it may use.
+
+use super::view::{Bin, Plan};
+use crate::Core;
+use crate::amounts::Amounts;
+use crate::fleet::ImageKey;
+use hopyoke_types::JobId;
+use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use std::rc::Rc;
+
+/// What the placement of one job must look at.
+#[derive(Clone)]
+pub(super) struct Needs {
+    pub(super) id: JobId,
+    pub(super) spec: Rc<JobSpec>,
+    pub(super) task: Amounts,
+    pub(super) image: ImageKey,
+    pub(super) team: Option<usize>,
+    /// The only zone allowed.
+    pub(super) zone: Option<usize>,
+    /// Types allowed, by their place in the catalog.
+    pub(super) kinds: Vec<bool>,
+    /// It failed on several machines, so no machine is avoided for that.
+    pub(super) suspect: bool,
+    /// Spot machines are to be had: it leaves empty ordinary ones to work that needs them.
+    pub(super) spare_ordinary: bool,
+    /// Places of the job's tasks by zone.
+    pub(super) zones: Vec<u32>,
+}
+
+impl Needs {
+    /// The job's zone rules allow one more task in this zone, given where its others are.
+    /// (Guards `wrong_place`.)
+    pub(super) fn zone_allows(&self, zone: usize) -> bool {
+        if self.spec.one_zone && self.zones.iter().enumerate().any(|(z, &n)| n > 0 && z != zone) {
+            return false;
+        }
+        !self.spec.spread || self.zones[zone] < self.spec.tasks.div_ceil(2)
+    }
+
+    pub(super) fn cares_for_zones(&self) -> bool {
+        self.spec.one_zone || self.spec.spread || self.spec.kind == JobKind::Service
+    }
+}
+
+/// Bins that one job may use, best first, by zone if the job cares for zones.
+pub(super) struct Candidates {
+    pub(super) lists: Vec<Vec<usize>>,
+    pub(super) next: Vec<usize>,
+}
+
+impl Candidates {
+    /// The best bin that still has room, in a zone that the job's rules allow.
+    pub(super) fn best(&mut self, needs: &Needs, plan: &Plan, score: impl Fn(&Bin) -> f64) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (list, next) in self.lists.iter().zip(&mut self.next) {
+            while list.get(*next).is_some_and(|&b| !needs.task.fits_in(&plan.bins[b].free)) {
+                *next += 1;
+            }
+            let Some(&b) = list.get(*next) else { continue };
+            let bin = &plan.bins[b];
+            if needs.cares_for_zones() && !needs.zone_allows(bin.zone) {
+                continue;
+            }
+            let value = score(bin);
+            if best.is_none_or(|(v, _)| value > v) {
+                best = Some((value, b));
+            }
+        }
+        best.map(|(_, b)| b)
+    }
+
+    /// A bin that was opened for the job comes first in its zone.
+    pub(super) fn put_first(&mut self, bin: usize, zone: usize) {
+        let list = zone.min(self.lists.len() - 1);
+        let next = self.next[list];
+        self.lists[list].insert(next, bin);
+    }
+}
+
+impl Core {
+    pub(super) fn needs(&self, id: &JobId) -> Option<Needs> {
+        let job = self.jobs.get(id)?;
+        let mut needs = Needs {
+            id: id.clone(),
+            spec: job.spec.clone(),
+            task: job.task,
+            image: job.image,
+            team: self.team_index(&job.spec.team),
+            zone: job.spec.zone.as_ref().map(|z| self.cfg.zone_index(z)),
+            kinds: self
+                .types
+                .iter()
+                .map(|t| job.spec.types.as_ref().is_none_or(|names| names.contains(&t.name)))
+                .collect(),
+            suspect: job.suspect(),
+            spare_ordinary: false,
+            zones: vec![0; self.cfg.zones.len() + 1],
+        };
+        if needs.cares_for_zones() {
+            for (machine, _) in job.places.values().flatten() {
+                if let Some(m) = self.machines.get(machine) {
+                    needs.zones[self.cfg.zone_index(&m.zone)] += 1;
+                }
+            }
+        }
+        Some(needs)
+    }
+
+    /// The job may use this machine.
+    pub(super) fn allowed(&self, needs: &Needs, bin: &Bin) -> bool {
+        needs.kinds[bin.kind]
+            && needs.zone.is_none_or(|z| z == bin.zone)
+            && (needs.spec.spot || !bin.spot)
+            && !(needs.spare_ordinary && !bin.spot && bin.empty)
+            && !(bin.returning && needs.spec.priority == Priority::Production)
+            && (needs.suspect || !bin.failed || !self.failed_on(bin, &needs.id))
+    }
+
+    pub(super) fn failed_on(&self, bin: &Bin, job: &JobId) -> bool {
+        let machine = bin.machine.as_ref().and_then(|m| self.machines.get(m));
+        machine.is_some_and(|m| m.failed_jobs.contains(job))
+    }
+
+    /// All bins that have room for a task of the job, best first.
+    pub(super) fn candidates(&self, needs: &Needs, plan: &Plan, zone: Option<usize>) -> Candidates {
+        self.looked_at(plan.open.len());
+        let zones = if needs.cares_for_zones() { self.cfg.zones.len() + 1 } else { 1 };
+        let mut scored: Vec<Vec<(f64, usize)>> = vec![Vec::new(); zones];
+        for &i in &plan.open {
+            let b = &plan.bins[i];
+            if needs.task.fits_in(&b.free) && zone.is_none_or(|z| z == b.zone) && self.allowed(needs, b) {
+                scored[b.zone.min(zones - 1)].push((plan.score(needs, b), i));
+            }
+        }
+        let lists: Vec<Vec<usize>> = scored
+            .into_iter()
+            .map(|mut list| {
+                list.sort_by(|a, b| b.0.total_cmp(&a.0));
+                list.into_iter().map(|(_, i)| i).collect()
+            })
+            .collect();
+        Candidates { next: vec![0; lists.len()], lists }
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/offers.rs
@@ -0,0 +1,69 @@
+//! Which kinds of machine can be rented, and which is the cheapest for a job.
+
+use super::needs::Needs;
+use super::view::{Bin, OfferView, Plan};
+use crate::Core;
+use crate::rent::Offer;
+use hopyoke_types::Micros;
+
+impl Plan {
+    /// The cheapest offer per task that the job can place on it.
+    pub(super) fn best_offer(&self, needs: &Needs, zone: Option<usize>, left: u32) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (i, o) in self.offers.iter().enumerate() {
+            if !needs.kinds[o.kind]
+                || (o.spot && !needs.spec.spot)
+                || zone.is_some_and(|want| want != o.zone)
+                || needs.zone.is_some_and(|want| want != o.zone)
+                || !needs.zone_allows(o.zone)
+            {
+                continue;
+            }
+            let slots = self.kinds[o.kind].holds(&needs.task).min(left.max(1));
+            let cost = o.cost / f64::from(slots);
+            if slots > 0 && best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, i));
+            }
+        }
+        best.map(|(_, i)| i)
+    }
+
+    /// Counts on one more machine for a task of the job; its bin.
+    pub(super) fn open_new(&mut self, needs: &Needs, zone: Option<usize>, left: u32) -> Option<usize> {
+        let offer = self.best_offer(needs, zone, left)?;
+        self.demand[offer] += 1;
+        let o = &self.offers[offer];
+        self.bins.push(Bin::rented(o.kind, o.zone, o.spot, self.kinds[o.kind]));
+        self.open.push(self.bins.len() - 1);
+        Some(self.bins.len() - 1)
+    }
+}
+
+impl Core {
+    /// What can be rented, but for what the cloud refused of late.
+    pub(super) fn offers(&self, now: Micros) -> Vec<OfferView> {
+        let mut here = vec![0u32; self.cfg.zones.len() + 1];
+        for m in self.machines.values() {
+            here[self.cfg.zone_index(&m.zone)] += 1;
+        }
+        let all = f64::from(here.iter().sum::<u32>().max(1));
+        let mut offers = Vec::new();
+        for (kind, t) in self.types.iter().enumerate() {
+            let zones = if t.zones.is_empty() { &self.cfg.zones } else { &t.zones };
+            for z in zones {
+                let zone = self.cfg.zone_index(z);
+                // Zones that hold less of the fleet are preferred, slightly.
+                let burden = 1.0 + 0.4 * f64::from(here[zone]) / all + 0.001 * t.boot_s;
+                for spot in [true, false] {
+                    let price = if spot { t.spot_price } else { t.price };
+                    let offer = Offer { machine_type: t.name.clone(), zone: z.clone(), spot };
+                    if (spot && price <= 0.0) || self.rents.refused(&offer, now) || self.zone_cut(z) {
+                        continue;
+                    }
+                    offers.push(OfferView { offer, kind, zone, spot, cost: price * burden });
+                }
+            }
+        }
+        offers
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/preempt.rs
@@ -0,0 +1,84 @@
+//! Room for production work by stopping tasks of arrays.
+
+use super::TaskKey;
+use super::needs::Needs;
+use super::view::Plan;
+use crate::Core;
+use crate::amounts::Amounts;
+use crate::fleet::Slot;
+use hopyoke_types::Micros;
+use hopyoke_wire::user::JobKind;
+
+/// What making room costs, in which bin, and who must go.
+type Room = (f64, usize, Vec<TaskKey>);
+
+/// Each search looks at every machine with lesser work; the next plan goes on with the rest.
+const MOST_PREEMPT_SEARCHES: usize = 32;
+
+impl Core {
+    /// Makes room for a production task on a machine that is up by stopping tasks of arrays of
+    /// lower priority: nobody else is preempted, for arrays lose least. The room is taken in the
+    /// plan; the task starts once the others have exited. Returns the zone.
+    pub(super) fn preempt(&self, needs: &Needs, plan: &mut Plan, now: Micros) -> Option<usize> {
+        if plan.preempt_searches >= MOST_PREEMPT_SEARCHES {
+            return None;
+        }
+        plan.preempt_searches += 1;
+        self.looked_at(plan.bins.len());
+        let mut best: Option<Room> = None;
+        for (i, bin) in plan.bins.iter().enumerate() {
+            if !bin.ready
+                || !needs.task.fits_in(&(bin.free + bin.freeing + bin.preemptible))
+                || !self.allowed(needs, bin)
+                || !needs.zone_allows(bin.zone)
+            {
+                continue;
+            }
+            let image = if plan.has_image(bin, needs.image) { 0.0 } else { 1000.0 };
+            if best.as_ref().is_some_and(|b| image >= b.0) {
+                continue;
+            }
+            let mut room = bin.free + bin.freeing;
+            let mut victims = Vec::new();
+            let mut lost = 0.0;
+            let Some(m) = bin.machine.as_ref().and_then(|m| self.machines.get(m)) else { continue };
+            let mut candidates: Vec<(f64, &TaskKey, &Slot)> = m
+                .slots()
+                .iter()
+                .filter(|(k, s)| s.is_live() && s.stop.is_none() && !plan.victims.iter().any(|v| v.1 == **k))
+                .filter(|(_, s)| {
+                    s.spec.as_ref().is_some_and(|v| v.kind == JobKind::Array && v.priority > needs.spec.priority)
+                })
+                .map(|(k, s)| (s.running_since.map_or(0.0, |t| (now - t).as_secs_f64()), k, s))
+                .collect();
+            candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+            for (ran, key, slot) in candidates {
+                if needs.task.fits_in(&room) {
+                    break;
+                }
+                room = room + slot.amounts();
+                lost += ran + 1.0;
+                victims.push(key.clone());
+            }
+            if !needs.task.fits_in(&room) {
+                continue;
+            }
+            let cost = image + lost;
+            if best.as_ref().is_none_or(|b| cost < b.0) {
+                best = Some((cost, i, victims));
+            }
+        }
+        let (_, i, victims) = best?;
+        let bin = &mut plan.bins[i];
+        let machine = bin.machine.clone()?;
+        let freed = victims.iter().filter_map(|k| self.machines.get(&machine)?.slots().get(k)).map(Slot::amounts);
+        let freed = freed.fold(Amounts::default(), |a, b| a + b);
+        // Room that is promised to this task is neither free nor freeing for others.
+        bin.freeing = bin.freeing + bin.free + freed - needs.task;
+        bin.preemptible = bin.preemptible - freed;
+        bin.free = Amounts::default();
+        bin.wanted = true;
+        plan.victims.extend(victims.into_iter().map(|k| (machine.clone(), k)));
+        Some(plan.bins[i].zone)
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -0,0 +1,253 @@
+//! What one plan sees and changes: bins (machines, real or yet to be rented), offers, use by team.
+
+use super::needs::Needs;
+use super::{Start, TaskKey};
+use crate::Core;
+use crate::amounts::{Amounts, Team};
+use crate::fleet::{ImageKey, Phase};
+use crate::rent::Offer;
+use hopyoke_types::{MachineId, Micros};
+use hopyoke_wire::user::JobKind;
+use tracing::debug;
+
+/// A machine, real or yet to be rented, in a plan.
+pub(super) struct Bin {
+    pub(super) machine: Option<MachineId>,
+    /// Tasks can be started on it now.
+    pub(super) ready: bool,
+    /// Its type: a place in the catalog.
+    pub(super) kind: usize,
+    /// Its zone: a place in the settings' list, or just past it.
+    pub(super) zone: usize,
+    pub(super) spot: bool,
+    pub(super) free: Amounts,
+    pub(super) empty: bool,
+    /// Replicas on it, which stay long.
+    pub(super) replicas: u32,
+    /// What its tasks will free that have been told to go at once.
+    pub(super) freeing: Amounts,
+    /// What could be freed for production work.
+    pub(super) preemptible: Amounts,
+    /// Where its images stand in the plan's list.
+    pub(super) images: (u32, u32),
+    /// The image of the task that this plan put on it last.
+    pub(super) latest: Option<ImageKey>,
+    /// Some job's tasks failed on it.
+    pub(super) failed: bool,
+    /// It is cut off and may be back: production work does not wait for that.
+    pub(super) returning: bool,
+    /// The plan counts on it.
+    pub(super) wanted: bool,
+}
+
+/// A kind of machine that the cloud sells, as seen by one plan.
+pub(super) struct OfferView {
+    pub(super) offer: Offer,
+    pub(super) kind: usize,
+    pub(super) zone: usize,
+    pub(super) spot: bool,
+    /// Price with what speaks against it: a zone that holds much of the fleet, a long boot.
+    pub(super) cost: f64,
+}
+
+/// A plan in the making.
+pub(super) struct Plan {
+    pub(super) bins: Vec<Bin>,
+    /// Bins that had room for the smallest waiting task, and all new ones.
+    pub(super) open: Vec<usize>,
+    pub(super) images: Vec<ImageKey>,
+    /// What a machine of each type offers.
+    pub(super) kinds: Vec<Amounts>,
+    pub(super) offers: Vec<OfferView>,
+    pub(super) demand: Vec<u32>,
+    /// Use by team.
+    pub(super) used: Vec<Amounts>,
+    /// Some live attempt is of a job that the ledger doesn't know.
+    pub(super) strange: bool,
+    pub(super) starts: Vec<Start>,
+    /// Tasks to be stopped for more important ones.
+    pub(super) victims: Vec<(MachineId, TaskKey)>,
+    /// Gangs that have reserved machines.
+    pub(super) reservations: usize,
+    /// Tasks looked at by the search for room by preemption; see [`MOST_PREEMPT_SEARCHES`].
+    pub(super) preempt_searches: usize,
+}
+
+/// What of a bin a gang's try changes.
+pub(super) type Before = (Amounts, bool, u32, Option<ImageKey>, bool);
+
+impl Bin {
+    pub(super) fn rented(kind: usize, zone: usize, spot: bool, total: Amounts) -> Bin {
+        Bin {
+            machine: None,
+            ready: false,
+            kind,
+            zone,
+            spot,
+            free: total,
+            empty: true,
+            replicas: 0,
+            freeing: Amounts::default(),
+            preemptible: Amounts::default(),
+            images: (0, 0),
+            latest: None,
+            failed: false,
+            returning: false,
+            wanted: false,
+        }
+    }
+
+    pub(super) fn before(&self) -> Before {
+        (self.free, self.empty, self.replicas, self.latest, self.wanted)
+    }
+
+    pub(super) fn restore(&mut self, before: Before) {
+        (self.free, self.empty, self.replicas, self.latest, self.wanted) = before;
+    }
+}
+
+impl Plan {
+    pub(super) fn has_image(&self, bin: &Bin, image: ImageKey) -> bool {
+        bin.latest == Some(image) || self.had_image(bin, image)
+    }
+
+    /// It has the image, or fetches it, without what this plan starts.
+    pub(super) fn had_image(&self, bin: &Bin, image: ImageKey) -> bool {
+        let (first, end) = bin.images;
+        self.images[first as usize..end as usize].contains(&image)
+    }
+
+    pub(super) fn score(&self, needs: &Needs, bin: &Bin) -> f64 {
+        let mut score = 0.0;
+        if bin.ready {
+            score += 1000.0;
+        }
+        if self.has_image(bin, needs.image) {
+            score += 100.0;
+        }
+        // Work that may use spot machines leaves the ordinary ones to work that may not.
+        if bin.spot {
+            score += 50.0;
+        }
+        if !bin.empty {
+            score += 20.0;
+        }
+        if needs.spec.kind == JobKind::Service {
+            // Replicas stay long: packed together they leave whole machines to gangs, and to be
+            // returned. Spread over zones, one zone's end takes few of a job's.
+            if bin.replicas > 0 {
+                score += 70.0;
+            }
+            score -= 30.0 * f64::from(needs.zones[bin.zone]);
+        }
+        // Best fit.
+        score - (bin.free.gpus - needs.task.gpus) - (bin.free.cpus - needs.task.cpus) / 16.0
+    }
+
+    /// Says how the fleet is used once this plan's tasks run; for finding out what is paid in vain.
+    pub(super) fn tell(&self) {
+        let sum = |f: &dyn Fn(&&Bin) -> bool| {
+            let bins = self.bins.iter().filter(f);
+            bins.fold((0u32, 0.0, 0.0), |s, b| (s.0 + 1, s.1 + self.kinds[b.kind].gpus, s.2 + b.free.gpus))
+        };
+        let (ready, idle) = (sum(&|b| b.ready), sum(&|b| b.ready && b.empty));
+        let coming = sum(&|b| !b.ready && b.machine.is_some());
+        let planned = sum(&|b| b.machine.is_none());
+        debug!(
+            ready = ready.0,
+            ready_gpus = ready.1,
+            ready_free = ready.2,
+            idle = idle.0,
+            idle_gpus = idle.1,
+            coming = coming.0,
+            coming_gpus = coming.1,
+            coming_free = coming.2,
+            planned = planned.0,
+            planned_gpus = planned.1,
+            planned_free = planned.2,
+            "fleet"
+        );
+    }
+
+    /// Charges `n` tasks to their team unless that exceeds its limit.
+    pub(super) fn charge(&mut self, needs: &Needs, n: u32, teams: &[Team]) -> bool {
+        let Some(team) = needs.team else { return false };
+        let sum = self.used[team] + needs.task.times(f64::from(n));
+        if !teams[team].allows(&sum) {
+            return false;
+        }
+        self.used[team] = sum;
+        true
+    }
+
+    pub(super) fn refund(&mut self, needs: &Needs, n: u32) {
+        if let Some(team) = needs.team {
+            self.used[team] = self.used[team] - needs.task.times(f64::from(n));
+        }
+    }
+
+    pub(super) fn take(&mut self, bin: usize, needs: &mut Needs) {
+        let b = &mut self.bins[bin];
+        b.free = b.free - needs.task;
+        b.empty = false;
+        b.replicas += u32::from(needs.spec.kind == JobKind::Service);
+        b.latest = Some(needs.image);
+        b.wanted = true;
+        needs.zones[b.zone] += 1;
+    }
+}
+
+impl Core {
+    pub(super) fn fill_bins(&mut self, plan: &mut Plan, now: Micros) {
+        let quiet = self.cfg.report.times(2) + Micros::from_secs(2);
+        let Core { machines, cfg, types, token, .. } = self;
+        for m in machines.values_mut() {
+            let load = m.load(&cfg.teams);
+            plan.strange |= load.strange;
+            for (team, amounts) in &load.teams {
+                let used = &mut plan.used[usize::from(*team)];
+                *used = *used + *amounts;
+            }
+            let fresh = m.phase == Phase::Up && now < m.last_seen + quiet;
+            if (m.phase == Phase::Up && !fresh)
+                || m.deleting
+                || m.faulty
+                || m.notice.is_some()
+                || now < m.cool_until
+            {
+                continue;
+            }
+            let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
+            let Some(load) = m.kept_load() else { continue };
+            let first = plan.images.len() as u32;
+            plan.images.extend_from_slice(&load.images);
+            plan.bins.push(Bin {
+                machine: Some(m.id.clone()),
+                ready: fresh && m.registered && m.settled(*token),
+                kind,
+                zone: cfg.zone_index(&m.zone),
+                spot: m.spot,
+                free: plan.kinds[kind] - load.used,
+                empty: load.live == 0,
+                replicas: load.replicas,
+                freeing: load.freeing,
+                preemptible: load.preemptible,
+                images: (first, plan.images.len() as u32),
+                latest: None,
+                failed: !m.failed_jobs.is_empty(),
+                // Its lease has lapsed, but its zone is cut off and it may be back.
+                returning: m.phase == Phase::Lost,
+                wanted: false,
+            });
+        }
+        // Machines that are being rented right now.
+        for (offer, n) in self.rents.open() {
+            if let Some(kind) = self.types.iter().position(|t| t.name == offer.machine_type) {
+                let zone = self.cfg.zone_index(&offer.zone);
+                for _ in 0..n {
+                    plan.bins.push(Bin::rented(kind, zone, offer.spot, plan.kinds[kind]));
+                }
+            }
+        }
+    }
+}
--- a/src/core/records.rs
+++ b/crates/hopyoke-core/src/records.rs
@@ -1,44 +1,13 @@
 //! What must be written to the state service, in batches within half of its write rate.
 
+use super::batch::{Batch, BatchError, RegisterPage, Write};
 use super::job::{EndRecord, JobRecord};
-use super::register::RegisterPage;
 use super::{Action, Config, Core};
-use crate::ids::{JobId, Mark, Token};
-use crate::time::Micros;
-use crate::wire::user::JobState;
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, Mark, Token};
+use hopyoke_wire::user::JobState;
 use std::collections::BTreeMap;
 
-/// One write of a batch. Every batch is conditional on our grant as well.
-#[derive(Debug, Clone)]
-pub enum Write {
-    /// Replace the record, which must still have this mark.
-    Update { job: JobId, mark: Mark, record: JobRecord },
-    /// Move the record, which must still have this mark, to its final place.
-    End { job: JobId, mark: Mark, end: EndRecord },
-    /// Replace a page of the register, which must still have this mark, or drop it.
-    Page { key: String, mark: Mark, page: Option<RegisterPage> },
-    /// Drop a page of the register whatever it holds.
-    DropPage { key: String },
-}
-
-#[derive(Debug, Clone)]
-pub struct Batch {
-    pub writes: Vec<Write>,
-}
-
-/// Why a batch did not go through.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum BatchError {
-    /// The records of these jobs have changed meanwhile.
-    Conflict { jobs: Vec<JobId>, pages: Vec<String> },
-    /// Our grant is gone: somebody else leads.
-    Deposed,
-    /// Certainly not executed.
-    Refused,
-    /// It may have been executed, or may yet be.
-    Unknown,
-}
-
 pub(super) struct Writes {
     /// Jobs that may have something to write, and since when that is known.
     due: BTreeMap<JobId, Option<Micros>>,
--- a/src/core/register.rs
+++ b/crates/hopyoke-core/src/register.rs
@@ -5,32 +5,10 @@
 //! an older page back. (Guards `ran_twice`: a machine whose entry was lost would not be waited
 //! for.) A page whose write went unanswered is left behind for a new one.
 
-use super::records::Write;
-use crate::ids::{MachineId, Mark};
-use serde::{Deserialize, Serialize};
+use super::batch::{ADDRESS_BYTES, RegisterPage, Write};
+use hopyoke_types::{MachineId, Mark};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A page of the register, under `fleet/KEY`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RegisterPage {
-    pub machine_type: String,
-    pub zone: String,
-    pub spot: bool,
-    /// With their workers' addresses, at which a new leader can ask them.
-    pub machines: BTreeMap<MachineId, String>,
-}
-
-/// An address with its port, quotes and separators: `"255.255.255.255:65535":,""`.
-const ADDRESS_BYTES: usize = 30;
-
-impl RegisterPage {
-    /// Bytes that it takes as a value, at the most.
-    pub fn bytes(&self) -> usize {
-        let names: usize = self.machines.keys().map(|m| m.as_str().len() + ADDRESS_BYTES).sum();
-        names + self.machine_type.len() + self.zone.len() + 80
-    }
-}
-
 struct Page {
     content: RegisterPage,
     mark: Mark,
--- a/src/core/rent.rs
+++ b/crates/hopyoke-core/src/rent.rs
@@ -2,10 +2,10 @@
 
 use super::fleet::{Machine, Phase};
 use super::{Action, Core};
-use crate::ids::MachineId;
-use crate::time::Micros;
-use crate::wire::cloud::{Listed, ListedState};
-use crate::wire::user::Priority;
+use hopyoke_types::MachineId;
+use hopyoke_types::Micros;
+use hopyoke_wire::cloud::{Listed, ListedState};
+use hopyoke_wire::user::Priority;
 use std::collections::BTreeMap;
 use tracing::info;
 
--- a/src/core/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -2,10 +2,10 @@
 
 use super::fleet::{Machine, Phase, Slot, SlotState, Stop};
 use super::{Action, Core};
-use crate::ids::{Attempt, JobId, MachineId, TaskId, Token};
-use crate::time::Micros;
-use crate::wire::user::{JobKind, JobSpec};
-use crate::wire::worker::{ExitReason, Order, Report, TaskReport, TaskState};
+use hopyoke_types::Micros;
+use hopyoke_types::{Attempt, JobId, MachineId, TaskId, Token};
+use hopyoke_wire::user::{JobKind, JobSpec};
+use hopyoke_wire::worker::{ExitReason, Order, Report, TaskReport, TaskState};
 use std::rc::Rc;
 use tracing::{info, warn};
 
--- a/src/http/client.rs
+++ b/crates/hopyoke-runtime/src/http/client.rs
@@ -2,8 +2,8 @@
 
 use super::message::{ReadError, Reader};
 use super::{Method, Response};
-use crate::runtime::{self, TcpStream};
-use crate::time::Micros;
+use crate::{self as runtime, TcpStream};
+use hopyoke_types::Micros;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
--- a/src/http/message.rs
+++ b/crates/hopyoke-runtime/src/http/message.rs
@@ -1,6 +1,6 @@
 //! Requests, responses and the reading of both from a socket.
 
-use crate::runtime::TcpStream;
+use crate::TcpStream;
 use serde::Serialize;
 use std::io;
 
@@ -57,7 +57,7 @@
     }
 
     pub fn of<T: Serialize>(status: u16, body: &T) -> Response {
-        let body = rmp_serde::to_vec_named(body).unwrap_or_default();
+        let body = hopyoke_wire::encode(body);
         Response { status, body, retry_after_s: None, close: false }
     }
 
--- a/src/http/server.rs
+++ b/crates/hopyoke-runtime/src/http/server.rs
@@ -2,9 +2,9 @@
 
 use super::message::{MAX_BODY, ReadError, Reader};
 use super::{Request, Response};
-use crate::runtime::{self, Cancel, TcpListener, TcpStream};
-use crate::time::Micros;
+use crate::{self as runtime, Cancel, TcpListener, TcpStream};
 use futures_util::future::LocalBoxFuture;
+use hopyoke_types::Micros;
 use std::cell::Cell;
 use std::rc::Rc;
 use tracing::debug;
--- a/src/runtime/mod.rs
+++ b/crates/hopyoke-runtime/src/lib.rs
@@ -4,12 +4,13 @@
 //! routine of its own; a [`Cancel`] token ends a routine in an orderly way.
 
 mod cancel;
+pub mod http;
 mod net;
 
 pub use cancel::Cancel;
 pub use net::{TcpListener, TcpStream};
 
-use crate::time::Micros;
+use hopyoke_types::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
--- a/src/runtime/net.rs
+++ b/crates/hopyoke-runtime/src/net.rs
@@ -1,7 +1,7 @@
 //! Non-blocking TCP sockets for routines.
 
 use super::{Inner, IoWaits, inner};
-use crate::time::Micros;
+use hopyoke_types::Micros;
 use mio::Interest;
 use std::future::poll_fn;
 use std::io::{self, Read, Write};
--- a/src/settings.rs
+++ b/crates/hopyoke-settings/src/lib.rs
@@ -1,6 +1,6 @@
 //! The platform's settings file: read, checked, and every fault reported with field and reason.
 
-use crate::time::Micros;
+use hopyoke_types::Micros;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
--- a/src/wire/cloud.rs
+++ b/crates/hopyoke-wire/src/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud's interface.
 
-use crate::ids::MachineId;
+use hopyoke_types::MachineId;
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Deserialize)]
--- a/src/wire/state.rs
+++ b/crates/hopyoke-wire/src/state.rs
@@ -1,6 +1,6 @@
 //! The state service's interface. Values are opaque here.
 
-use crate::ids::Mark;
+use hopyoke_types::Mark;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
--- a/src/wire/user.rs
+++ b/crates/hopyoke-wire/src/user.rs
@@ -1,6 +1,6 @@
 //! What users send and get.
 
-use crate::ids::JobId;
+use hopyoke_types::JobId;
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/wire/worker.rs
+++ b/crates/hopyoke-wire/src/worker.rs
@@ -1,6 +1,6 @@
 //! What workers and controllers tell each other.
 
-use crate::ids::{Attempt, MachineId, Token};
+use hopyoke_types::{Attempt, MachineId, Token};
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/tests/sim/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -2,13 +2,13 @@
 
 use super::store::{Change, Value};
 use super::{Host, LARGE, World};
-use hopyoke::core::{Action, Batch, BatchError, Core, EndRecord, JobRecord, RentOutcome, Write};
-use hopyoke::entitlement::{Entitlement, PROMISE};
-use hopyoke::ids::{JobId, MachineId, Mark, Token};
-use hopyoke::time::Micros;
-use hopyoke::wire::cloud::{Listed, ListedState};
-use hopyoke::wire::user::JobState;
-use hopyoke::wire::worker::Report;
+use hopyoke_core::entitlement::{Entitlement, PROMISE};
+use hopyoke_core::{Action, Batch, BatchError, Core, EndRecord, JobRecord, RentOutcome, Write};
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, MachineId, Mark, Token};
+use hopyoke_wire::cloud::{Listed, ListedState};
+use hopyoke_wire::user::JobState;
+use hopyoke_wire::worker::Report;
 use std::rc::Rc;
 
 #[derive(Default)]
@@ -431,7 +431,7 @@
         machine: MachineId,
         token: Token,
         session: u64,
-        orders: Vec<hopyoke::wire::worker::Order>,
+        orders: Vec<hopyoke_wire::worker::Order>,
         sent: Micros,
     ) {
         if let Some(t) = self.hung(&machine) {
--- a/tests/sim/mod.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -7,11 +7,11 @@
 pub mod store;
 pub mod worker;
 
-use hopyoke::core::{Config, Team};
-use hopyoke::ids::{JobId, MachineId};
-use hopyoke::time::Micros;
-use hopyoke::wire::cloud::MachineType;
-use hopyoke::wire::user::JobSpec;
+use hopyoke_core::{Config, Team};
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, MachineId};
+use hopyoke_wire::cloud::MachineType;
+use hopyoke_wire::user::JobSpec;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
--- a/tests/sim/rules.rs
+++ b/crates/hopyoke-world/src/rules.rs
@@ -1,10 +1,10 @@
 //! The rules, checked against what is true.
 
 use super::World;
-use hopyoke::ids::{Attempt, JobId, MachineId, TaskId};
-use hopyoke::time::Micros;
-use hopyoke::wire::user::JobState;
-use hopyoke::wire::worker::TaskState;
+use hopyoke_types::Micros;
+use hopyoke_types::{Attempt, JobId, MachineId, TaskId};
+use hopyoke_wire::user::JobState;
+use hopyoke_wire::worker::TaskState;
 use std::collections::BTreeMap;
 
 impl World {
--- a/tests/sim/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -1,11 +1,11 @@
-//! Scenarios as text: one statement a line, `#` starts a comment. See `tests/scenarios/README.md`.
+//! Scenarios as text: one statement a line, `#` starts a comment. See `crates/hopyoke/tests/scenarios/README.md`.
 
-use super::{Cut, Host, Truth, World};
-use hopyoke::core::Team;
-use hopyoke::ids::{JobId, MachineId};
-use hopyoke::time::Micros;
-use hopyoke::wire::cloud::MachineType;
-use hopyoke::wire::user::{JobKind, JobSpec, JobState, Priority};
+use crate::{Cut, Host, Truth, World};
+use hopyoke_core::Team;
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, MachineId};
+use hopyoke_wire::cloud::MachineType;
+use hopyoke_wire::user::{JobKind, JobSpec, JobState, Priority};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -32,8 +32,11 @@
     out
 }
 
-/// Runs one scenario; the error names the line.
-pub fn run(text: &str) -> Result<(), String> {
+/// A statement that needs no world: given its first word and the line, the result if it is known.
+pub type Extra<'a> = &'a dyn Fn(&str, &str) -> Option<Result<(), String>>;
+
+/// Runs one scenario; the error names the line. Statements that `extra` knows are left to it.
+pub fn run(text: &str, extra: Extra<'_>) -> Result<(), String> {
     let mut world: Option<World> = None;
     for (n, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or("").trim();
@@ -48,10 +51,11 @@
                 world_defaults(&mut w);
                 world = Some(w);
             }
-            "input" => super::super::checks::input(line).map_err(fail)?,
-            "settings" => super::super::checks::settings(line).map_err(fail)?,
-            "http" => super::super::checks::http(line).map_err(fail)?,
-            _ => {
+            other => {
+                if let Some(result) = extra(other, line) {
+                    result.map_err(fail)?;
+                    continue;
+                }
                 let w = world.as_mut().ok_or_else(|| fail("a scenario starts with `seed N`".into()))?;
                 statement(w, &words).map_err(fail)?;
                 if let Some(b) = w.broken.first() {
--- a/tests/sim/store.rs
+++ b/crates/hopyoke-world/src/store.rs
@@ -1,8 +1,8 @@
 //! The state service.
 
 use super::World;
-use hopyoke::core::{EndRecord, JobRecord, RegisterPage};
-use hopyoke::time::Micros;
+use hopyoke_core::{EndRecord, JobRecord, RegisterPage};
+use hopyoke_types::Micros;
 use std::collections::BTreeMap;
 
 #[derive(Debug, Clone)]
--- a/src/api.rs
+++ b/crates/hopyoke/src/api.rs
@@ -1,47 +1,19 @@
 //! What users ask: submit, poll, cancel. Any node answers by itself, from the state service.
 
-use crate::core::{EndRecord, JobRecord, never_runs};
-use crate::http::{Method, Request, Response};
-use crate::ids::{JobId, Mark};
-use crate::mesh;
+use crate::links::{ASK_LEADER, ASK_PEER};
 use crate::node::Node;
-use crate::runtime;
 use crate::state::{StateError, TxnEnd, end_key, job_key};
-use crate::time::Micros;
-use crate::wire::state::{Change, Condition, Stored};
-use crate::wire::user::{JobAnswer, JobSpec, JobState};
+use hopyoke_core::{EndRecord, JobRecord, never_runs};
+use hopyoke_runtime as runtime;
+use hopyoke_runtime::http::{Method, Request, Response};
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, Mark};
+use hopyoke_wire::state::{Change, Condition, Stored};
+use hopyoke_wire::user::{JobAnswer, JobSpec, JobState};
 use serde::Serialize;
-use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use tracing::{debug, warn};
 
-/// Final states never change, so a few of them are remembered.
-#[derive(Default)]
-pub struct Finals {
-    known: RefCell<(BTreeMap<JobId, EndRecord>, VecDeque<JobId>)>,
-}
-
-const MOST_FINALS: usize = 4096;
-
-impl Finals {
-    fn get(&self, id: &JobId) -> Option<EndRecord> {
-        self.known.borrow().0.get(id).copied()
-    }
-
-    fn add(&self, id: &JobId, end: EndRecord) {
-        let mut known = self.known.borrow_mut();
-        if known.0.insert(id.clone(), end).is_none() {
-            known.1.push_back(id.clone());
-        }
-        if known.1.len() > MOST_FINALS
-            && let Some(old) = known.1.pop_front()
-        {
-            known.0.remove(&old);
-        }
-    }
-}
-
 #[derive(Serialize)]
 struct Problem<'a> {
     error: &'a str,
@@ -86,14 +58,14 @@
         let leader = node.leader.borrow().clone();
         if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l))
             && link.reaches_state()
-            && let Some(r) = link.forward(node, request, mesh::ASK_LEADER).await
+            && let Some(r) = link.forward(&node.settings.node, request, ASK_LEADER).await
         {
             return r;
         }
     }
     if !node.state.answers()
         && let Some(link) = node.links.any_reaches_state()
-        && let Some(r) = link.forward(node, request, mesh::ASK_PEER).await
+        && let Some(r) = link.forward(&node.settings.node, request, ASK_PEER).await
     {
         return r;
     }
@@ -106,7 +78,7 @@
     if own.status == 503
         && request.method == Method::Post
         && let Some(link) = node.links.any_reaches_state()
-        && let Some(r) = link.forward(node, request, mesh::ASK_PEER).await
+        && let Some(r) = link.forward(&node.settings.node, request, ASK_PEER).await
     {
         return r;
     }
@@ -246,7 +218,7 @@
     runtime::spawn_until(node.cancel.clone(), async move {
         let leader = node.leader.borrow().clone();
         if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) {
-            link.nudge(&node, &id).await;
+            link.nudge(&node.settings.node, &id).await;
         }
     });
 }
--- a/src/cloud.rs
+++ b/crates/hopyoke/src/cloud.rs
@@ -1,12 +1,12 @@
 //! The cloud: typed requests within its rate.
 
-use crate::core::RentOutcome;
-use crate::http::{Client, Method};
-use crate::ids::MachineId;
-use crate::runtime;
-use crate::time::Micros;
-use crate::wire::cloud::{Catalog, Listed, MachineList, MachineType, Machines, Rent};
-use crate::wire::{decode, encode};
+use hopyoke_core::RentOutcome;
+use hopyoke_runtime as runtime;
+use hopyoke_runtime::http::{Client, Method};
+use hopyoke_types::MachineId;
+use hopyoke_types::Micros;
+use hopyoke_wire::cloud::{Catalog, Listed, MachineList, MachineType, Machines, Rent};
+use hopyoke_wire::{decode, encode};
 use std::cell::Cell;
 use std::net::SocketAddr;
 
--- a/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -1,16 +1,16 @@
 //! Leadership: one node leads, named by a key on its lease in the state service. It leases all
 //! blocks to itself, takes over the records, and runs the core.
 
-use crate::core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
-use crate::entitlement::Entitlement;
-use crate::ids::{JobId, Mark, Token};
 use crate::node::{Leading, Node};
-use crate::runtime::{self, Bell, Cancel};
 use crate::state::{FLEET, JOBS, LEADER, StateError, TxnEnd, block_key, end_key, fleet_key, job_key};
-use crate::time::Micros;
-use crate::wire::cloud::Rent;
-use crate::wire::state::{Change, Condition, Events, Pair, Stored};
 use crate::workers::Direct;
+use hopyoke_core::entitlement::Entitlement;
+use hopyoke_core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
+use hopyoke_runtime::{self as runtime, Bell, Cancel};
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, Mark, Token};
+use hopyoke_wire::cloud::Rent;
+use hopyoke_wire::state::{Change, Condition, Events, Pair, Stored};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -368,7 +368,7 @@
 #[serde(untagged)]
 enum Value<'a> {
     Job(&'a JobRecord),
-    End(&'a crate::core::EndRecord),
+    End(&'a hopyoke_core::EndRecord),
     Page(&'a RegisterPage),
 }
 
--- /dev/null
+++ b/crates/hopyoke/src/lib.rs
@@ -0,0 +1,24 @@
+//! hopyoke: a cluster scheduler. Controllers take users' jobs, rent machines and run tasks on
+//! them. See `docs/DESIGN.md`.
+//!
+//! Modules build on one another in this order, downward only:
+//!
+//! - [`serve`]: starts a node's routines and routes requests.
+//! - [`mesh`]: answers peers and operators.
+//! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
+//! - [`node`]: what the routines of one node share.
+//! - [`links`], [`finals`], [`promises`], [`state`], [`cloud`]: calls to peers, remembered final
+//!   states, promises to peers, clients of the state service and the cloud.
+
+pub mod api;
+pub mod cloud;
+pub mod finals;
+pub mod lead;
+pub mod links;
+pub mod mesh;
+pub mod node;
+pub mod promises;
+pub mod serve;
+pub mod state;
+pub mod status;
+pub mod workers;
--- /dev/null
+++ b/crates/hopyoke/src/links.rs
@@ -0,0 +1,210 @@
+//! Calls to the other controllers: gRPC by `tonic`, over hyper's HTTP/2 on our own event loop.
+
+use hopyoke_runtime::http::{Request, Response};
+use hopyoke_runtime::{self as runtime, Cancel, TcpStream};
+use hopyoke_settings::Peer;
+use hopyoke_types::{JobId, Micros};
+use hyper::body::Incoming;
+use proto::mesh_client::MeshClient;
+use proto::{Greeting, News, StatusRequest, UserRequest};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::task::{Context, Poll};
+use tonic::Status;
+use tracing::debug;
+
+/// Generated from `proto/mesh.proto`.
+#[allow(clippy::all, missing_docs)]
+pub mod proto {
+    tonic::include_proto!("hopyoke.mesh");
+}
+
+/// Runs hyper's routines on our executor.
+#[derive(Clone, Copy)]
+pub(crate) struct LocalExec;
+
+impl<F: Future<Output: 'static> + 'static> hyper::rt::Executor<F> for LocalExec {
+    fn execute(&self, future: F) {
+        runtime::spawn(async move {
+            future.await;
+        });
+    }
+}
+
+/// A client's channel: one HTTP/2 connection.
+pub(crate) struct Channel(hyper::client::conn::http2::SendRequest<tonic::body::Body>);
+
+impl tower_service::Service<http::Request<tonic::body::Body>> for Channel {
+    type Response = http::Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = std::pin::Pin<Box<dyn Future<Output = Result<Self::Response, hyper::Error>>>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), hyper::Error>> {
+        self.0.poll_ready(cx)
+    }
+    fn call(&mut self, mut request: http::Request<tonic::body::Body>) -> Self::Future {
+        // HTTP/2 wants an absolute URI; the connection is the address.
+        let path = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        if let Ok(uri) = format!("http://mesh{path}").parse() {
+            *request.uri_mut() = uri;
+        }
+        Box::pin(self.0.send_request(request))
+    }
+}
+
+const CONNECT: Micros = Micros::from_millis(700);
+pub(crate) const GREET: Micros = Micros::from_millis(900);
+/// A greeting or its lack counts for this long.
+const FRESH: Micros = Micros::from_millis(2_500);
+/// Most of the window in which a user waits for an answer to a poll is kept for our own try.
+pub const ASK_LEADER: Micros = Micros::from_millis(500);
+pub const ASK_PEER: Micros = Micros::from_millis(1_800);
+
+async fn connect(addr: SocketAddr, cancel: &Cancel) -> io::Result<Channel> {
+    let stream = TcpStream::connect(addr, CONNECT).await?;
+    let (sender, connection) =
+        hyper::client::conn::http2::handshake(LocalExec, stream).await.map_err(io::Error::other)?;
+    runtime::spawn_until(cancel.clone(), async move {
+        let _ = connection.await;
+    });
+    Ok(Channel(sender))
+}
+
+/// What we know of one peer.
+pub struct PeerLink {
+    pub peer: Peer,
+    channel: RefCell<Option<(MeshClient<Channel>, Cancel)>>,
+    seen: Cell<Micros>,
+    state_ok: Cell<bool>,
+    token: Cell<u64>,
+}
+
+impl PeerLink {
+    fn new(peer: Peer) -> PeerLink {
+        PeerLink {
+            peer,
+            channel: RefCell::default(),
+            seen: Cell::new(Micros::ZERO),
+            state_ok: Cell::new(false),
+            token: Cell::new(0),
+        }
+    }
+
+    fn fresh(&self) -> bool {
+        self.seen.get() > Micros::ZERO && runtime::now() < self.seen.get() + FRESH
+    }
+
+    /// It has said of late that the state service answers it.
+    pub fn reaches_state(&self) -> bool {
+        self.fresh() && self.state_ok.get()
+    }
+
+    pub fn note(&self, greeting: &Greeting) {
+        self.seen.set(runtime::now());
+        self.state_ok.set(greeting.state_ok);
+        self.token.set(greeting.token);
+    }
+
+    async fn client(&self) -> io::Result<MeshClient<Channel>> {
+        if let Some((client, _)) = &*self.channel.borrow() {
+            return Ok(client.clone());
+        }
+        let cancel = Cancel::new();
+        let client = MeshClient::new(connect(self.peer.addr, &cancel).await?);
+        *self.channel.borrow_mut() = Some((client.clone(), cancel));
+        Ok(client)
+    }
+
+    fn reset(&self) {
+        if let Some((_, cancel)) = self.channel.borrow_mut().take() {
+            cancel.cancel();
+        }
+    }
+
+    /// Makes one call within `limit`; a failed connection is given up and made anew next time.
+    pub(crate) async fn call<T, F, G>(&self, limit: Micros, f: F) -> Option<T>
+    where
+        F: FnOnce(MeshClient<Channel>) -> G,
+        G: Future<Output = Result<tonic::Response<T>, Status>>,
+    {
+        let result = runtime::timeout(limit, async {
+            let client = self.client().await.map_err(|e| Status::unavailable(e.to_string()))?;
+            f(client).await
+        })
+        .await;
+        match result {
+            Ok(Ok(answer)) => Some(answer.into_inner()),
+            Ok(Err(e)) => {
+                debug!(peer = %self.peer.node, error = %e, "mesh call failed");
+                self.reset();
+                None
+            }
+            Err(_) => {
+                self.reset();
+                None
+            }
+        }
+    }
+
+    /// Tells the peer that a job was accepted or cancelled. Only a hint: its watch tells it too.
+    pub async fn nudge(&self, from: &str, job: &JobId) {
+        if self.fresh() {
+            let news = News { node: from.to_owned(), job: job.to_string() };
+            let _ = self.call(GREET, |mut c| async move { c.nudge(news).await }).await;
+        }
+    }
+
+    /// Has the peer answer a user's request.
+    pub async fn forward(&self, from: &str, request: &Request, limit: Micros) -> Option<Response> {
+        if !self.fresh() {
+            return None;
+        }
+        let message = UserRequest {
+            node: from.to_owned(),
+            method: request.method.as_str().to_owned(),
+            path: request.path.clone(),
+            body: request.body.clone(),
+        };
+        let answer = self.call(limit, |mut c| async move { c.forward(message).await }).await?;
+        let mut response = Response::empty(u16::try_from(answer.status).ok()?);
+        response.body = answer.body;
+        response.retry_after_s = (answer.retry_after_s > 0).then_some(answer.retry_after_s);
+        // The peer could not decide either.
+        (response.status != 503).then_some(response)
+    }
+}
+
+impl Clone for Channel {
+    fn clone(&self) -> Channel {
+        Channel(self.0.clone())
+    }
+}
+
+/// All peers.
+pub struct Links(pub Vec<PeerLink>);
+
+impl Links {
+    pub fn new(peers: &[Peer]) -> Links {
+        Links(peers.iter().cloned().map(PeerLink::new).collect())
+    }
+
+    pub fn by_name(&self, name: &str) -> Option<&PeerLink> {
+        self.0.iter().find(|l| l.peer.node == name)
+    }
+
+    pub fn any_reaches_state(&self) -> Option<&PeerLink> {
+        self.0.iter().find(|l| l.reaches_state())
+    }
+}
+
+/// Asks a controller for its status, for operators.
+pub async fn ask_status(addr: SocketAddr) -> io::Result<String> {
+    let cancel = Cancel::new();
+    let mut client = MeshClient::new(connect(addr, &cancel).await?);
+    let answer = runtime::timeout(Micros::from_secs(3), client.status(StatusRequest {}))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    answer.map(|a| a.into_inner().text).map_err(io::Error::other)
+}
--- a/src/main.rs
+++ b/crates/hopyoke/src/main.rs
@@ -1,8 +1,9 @@
 //! The program: reads the command line and starts the library.
 
 use clap::{Parser, Subcommand};
-use hopyoke::settings::Settings;
-use hopyoke::{mesh, runtime};
+use hopyoke::links;
+use hopyoke_runtime as runtime;
+use hopyoke_settings::Settings;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -59,7 +60,7 @@
             if let Err(e) = start_log() {
                 return fail(&e);
             }
-            match hopyoke::node::serve(settings) {
+            match hopyoke::serve::serve(settings) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(e) => fail(&e),
             }
@@ -71,7 +72,7 @@
     let answer = Rc::new(RefCell::new(None));
     let slot = answer.clone();
     let ran = runtime::run(async move {
-        *slot.borrow_mut() = Some(mesh::ask_status(addr).await);
+        *slot.borrow_mut() = Some(links::ask_status(addr).await);
     });
     match (ran, answer.take()) {
         (Ok(()), Some(Ok(text))) => {
--- /dev/null
+++ b/crates/hopyoke/src/node.rs
@@ -0,0 +1,91 @@
+//! What the routines of one controller node share.
+
+use crate::cloud::Cloud;
+use crate::finals::Finals;
+use crate::links::Links;
+use crate::promises::Promises;
+use crate::state::State;
+use hopyoke_core::entitlement::Entitlement;
+use hopyoke_core::{Config, Core};
+use hopyoke_runtime::{self as runtime, Bell, Cancel};
+use hopyoke_settings::Settings;
+use hopyoke_types::Micros;
+use hopyoke_wire::cloud::MachineType;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tracing::debug;
+
+pub struct Node {
+    pub settings: Settings,
+    pub config: Config,
+    pub state: State,
+    pub cloud: Cloud,
+    pub catalog: RefCell<Vec<MachineType>>,
+    /// The node that leads, as last seen.
+    pub leader: RefCell<Option<String>>,
+    /// Set while this node leads.
+    pub leading: RefCell<Option<Rc<Leading>>>,
+    /// What this node promises its peers.
+    pub promises: Promises,
+    pub finals: Finals,
+    pub links: Links,
+    pub cancel: Cancel,
+}
+
+/// What a leading node has.
+pub struct Leading {
+    pub core: RefCell<Core>,
+    /// How long we may command workers.
+    pub right: Rc<RefCell<Entitlement>>,
+    /// When a worker last reported to us.
+    pub last_report: Cell<Micros>,
+    /// Rung when the core has changed.
+    pub bell: Bell,
+    /// Rung when something is to be written.
+    pub write_bell: Bell,
+    pub cancel: Cancel,
+}
+
+impl Leading {
+    /// We may command workers, and renew their leases. Past our lease another node may lead;
+    /// without news of cancellations we must not keep tasks alive. (Guards `ran_twice` and
+    /// `ran_cancelled`.)
+    pub fn entitled(&self) -> bool {
+        self.right.borrow().holds(runtime::now()) && !self.cancel.is_cancelled()
+    }
+
+    /// Does something with the core that may make a plan, and has the time between plans follow
+    /// from what that cost: a third of the processor's share may go to plans.
+    pub fn planning<T>(&self, node: &Node, core: &mut Core, f: impl FnOnce(&mut Core) -> T) -> T {
+        let (plans, began) = (core.plans(), runtime::now());
+        let out = f(core);
+        if core.plans() != plans {
+            let cost = runtime::now() - began;
+            debug!(cost_us = cost.0, machines = core.machines.len(), jobs = core.jobs.len(), "plan");
+            core.plan_cost(cost, node.settings.facts.limits.cpu_share / 3.0);
+        }
+        out
+    }
+}
+
+impl Node {
+    pub fn new(settings: Settings) -> Node {
+        Node {
+            config: Config::of(&settings),
+            state: State::new(settings.endpoints.state),
+            cloud: Cloud::new(settings.endpoints.cloud, settings.facts.cloud.rps),
+            catalog: RefCell::default(),
+            leader: RefCell::default(),
+            leading: RefCell::default(),
+            promises: Promises::of_new_process(),
+            finals: Finals::default(),
+            links: Links::new(&settings.peers),
+            cancel: Cancel::new(),
+            settings,
+        }
+    }
+
+    pub fn leading(&self) -> Option<Rc<Leading>> {
+        self.leading.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/hopyoke/src/serve.rs
@@ -0,0 +1,100 @@
+//! A controller node's routines, and how they are started.
+
+use crate::node::Node;
+use crate::{api, lead, mesh, workers};
+use hopyoke_runtime::http::{self, Limits, Request, Response};
+use hopyoke_runtime::{self as runtime, TcpListener};
+use hopyoke_settings::Settings;
+use hopyoke_types::Micros;
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use tracing::{debug, info};
+
+/// Serves until the process ends.
+pub fn serve(settings: Settings) -> io::Result<()> {
+    let listen = settings.listen;
+    let failed = Rc::new(RefCell::new(None));
+    let failure = failed.clone();
+    runtime::run(async move {
+        let listener = match TcpListener::bind(listen) {
+            Ok(l) => l,
+            Err(e) => {
+                *failure.borrow_mut() = Some(e);
+                return;
+            }
+        };
+        let node = Rc::new(Node::new(settings));
+        info!(node = %node.settings.node, zone = %node.settings.zone, "serving");
+        runtime::spawn_until(node.cancel.clone(), keep_catalog(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), lead::run(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), mesh::serve(node.clone()));
+        for peer in 0..node.links.0.len() {
+            runtime::spawn_until(node.cancel.clone(), mesh::greet(node.clone(), peer));
+        }
+        runtime::spawn_until(node.cancel.clone(), probe_state(node.clone()));
+        let limits = Limits {
+            // Leave sockets for the state service, the cloud, workers and the mesh.
+            connections: node.settings.facts.limits.max_connections * 3 / 4,
+            idle: Micros::from_secs(90),
+            request: Micros::from_secs(10),
+        };
+        let handler = {
+            let node = node.clone();
+            Rc::new(move |request: Request| {
+                let node = node.clone();
+                Box::pin(async move { route(&node, request).await }) as _
+            })
+        };
+        http::serve(listener, limits, node.cancel.clone(), handler).await;
+    })?;
+    match failed.take() {
+        Some(e) => Err(io::Error::new(e.kind(), format!("serve_on {listen}: {e}"))),
+        None => Ok(()),
+    }
+}
+
+async fn route(node: &Rc<Node>, request: Request) -> Response {
+    let path = request.path.split('?').next().unwrap_or("");
+    match path {
+        "/healthz" => api::healthz(node, &request),
+        "/hello" => workers::report(node, &request),
+        _ => match path.strip_prefix("/api/jobs") {
+            Some(rest) => api::jobs(node, rest, &request).await,
+            None => Response::empty(404),
+        },
+    }
+}
+
+/// Keeps knowing whether the state service answers, when nothing else asks it.
+async fn probe_state(node: Rc<Node>) {
+    let every = Micros::from_secs(1);
+    loop {
+        if runtime::now() > node.state.last_answer() + every {
+            let _ = node.state.get::<serde::de::IgnoredAny>(crate::state::LEADER).await;
+        }
+        runtime::sleep(every).await;
+    }
+}
+
+/// Every node needs the machine types to tell which jobs can run.
+async fn keep_catalog(node: Rc<Node>) {
+    loop {
+        let got = node.cloud.catalog().await;
+        let pause = match got {
+            Some(types) if !types.is_empty() => {
+                if let Some(l) = node.leading() {
+                    l.core.borrow_mut().set_catalog(types.clone());
+                    l.bell.ring();
+                }
+                *node.catalog.borrow_mut() = types;
+                Micros::from_secs(60)
+            }
+            _ => {
+                debug!("no catalog");
+                Micros::from_secs(2)
+            }
+        };
+        runtime::sleep(pause).await;
+    }
+}
--- a/src/state.rs
+++ b/crates/hopyoke/src/state.rs
@@ -8,12 +8,12 @@
 //! | `end/ID` | a finished job, for good |
 //! | `fleet/ID` | a machine that tasks may be on |
 
-use crate::http::{Client, ClientError, Method, Response};
-use crate::ids::{JobId, Mark};
-use crate::runtime;
-use crate::time::Micros;
-use crate::wire::state::{Applied, Change, Condition, Events, Failed, Grant, Granted, Page, Pair, Stored, Txn};
-use crate::wire::{decode, encode};
+use hopyoke_runtime as runtime;
+use hopyoke_runtime::http::{Client, ClientError, Method, Response};
+use hopyoke_types::Micros;
+use hopyoke_types::{JobId, Mark};
+use hopyoke_wire::state::{Applied, Change, Condition, Events, Failed, Grant, Granted, Page, Pair, Stored, Txn};
+use hopyoke_wire::{decode, encode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::Cell;
--- a/src/status.rs
+++ b/crates/hopyoke/src/status.rs
@@ -1,7 +1,7 @@
 //! What a controller tells its operators: leader, blocks, machines, jobs, teams, and why jobs wait.
 
-use crate::core::{Amounts, Phase};
 use crate::node::Node;
+use hopyoke_core::{Amounts, Phase};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -44,7 +44,7 @@
             writeln!(out, "team {} cpus {} of {} gpus {} of {}", t.name, u.cpus, t.cpus_max, u.gpus, t.gpus_max);
     }
     for (id, j) in &core.jobs {
-        let unknown = j.done.missing(j.spec.tasks).filter(|&i| core.check(j, i) == crate::core::Verdict::Unknown);
+        let unknown = j.done.missing(j.spec.tasks).filter(|&i| core.check(j, i) == hopyoke_core::Verdict::Unknown);
         let _ = write!(
             out,
             "job {id} team {} tasks {} done {} placed {} running {} unknown {}",
--- a/src/workers.rs
+++ b/crates/hopyoke/src/workers.rs
@@ -1,12 +1,12 @@
 //! Workers' reports, and orders sent straight to workers.
 
-use crate::http::{Client, ClientError, Method, Request, Response};
-use crate::ids::{MachineId, Token};
 use crate::node::{Leading, Node};
-use crate::runtime;
-use crate::time::Micros;
-use crate::wire::worker::{DirectOrders, Order, Orders, Redirect, Report};
-use crate::wire::{decode, encode};
+use hopyoke_runtime as runtime;
+use hopyoke_runtime::http::{Client, ClientError, Method, Request, Response};
+use hopyoke_types::Micros;
+use hopyoke_types::{MachineId, Token};
+use hopyoke_wire::worker::{DirectOrders, Order, Orders, Redirect, Report};
+use hopyoke_wire::{decode, encode};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/tests/checks/mod.rs
+++ b/crates/hopyoke/tests/checks/mod.rs
@@ -1,12 +1,12 @@
 //! Scenario statements that need no world: bodies of requests, settings, and raw HTTP.
 
-use hopyoke::core::{Team, never_runs};
-use hopyoke::http::{self, Limits, Request, Response};
-use hopyoke::runtime::{self, Cancel, TcpListener, TcpStream};
-use hopyoke::settings::Settings;
-use hopyoke::time::Micros;
-use hopyoke::wire::cloud::MachineType;
-use hopyoke::wire::user::JobSpec;
+use hopyoke_core::{Team, never_runs};
+use hopyoke_runtime::http::{self, Limits, Request, Response};
+use hopyoke_runtime::{self as runtime, Cancel, TcpListener, TcpStream};
+use hopyoke_settings::Settings;
+use hopyoke_types::Micros;
+use hopyoke_wire::cloud::MachineType;
+use hopyoke_wire::user::JobSpec;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -30,9 +30,19 @@
     good
 }
 
+/// The statements of this file, by their first word.
+pub fn statement(word: &str, line: &str) -> Option<Result<(), String>> {
+    Some(match word {
+        "input" => input(line),
+        "settings" => settings(line),
+        "http" => http(line),
+        _ => return None,
+    })
+}
+
 /// `input PATCH -> ok | 400 FIELD | 422 WORD`: a good submission with these fields changed.
 /// `input hex BYTES -> ...`: a body byte by byte.
-pub fn input(line: &str) -> Result<(), String> {
+fn input(line: &str) -> Result<(), String> {
     let (left, right) = line.trim_start_matches("input").split_once("->").ok_or("no ->")?;
     let left = left.trim();
     let body = if let Some(hex) = left.strip_prefix("hex ") {
@@ -80,7 +90,7 @@
 const SETTINGS: &str = include_str!("settings.toml");
 
 /// `settings OLD => NEW -> ok | FIELD`: good settings with one line replaced.
-pub fn settings(line: &str) -> Result<(), String> {
+fn settings(line: &str) -> Result<(), String> {
     let (edit, want) = line.trim_start_matches("settings").rsplit_once("->").ok_or("no ->")?;
     let (old, new) = edit.split_once("=>").ok_or("no =>")?;
     let (old, new, want) = (old.trim(), new.trim(), want.trim());
@@ -98,7 +108,7 @@
 }
 
 /// `http "RAW" -> STATUS [close]`: raw bytes to the real server on loopback.
-pub fn http(line: &str) -> Result<(), String> {
+fn http(line: &str) -> Result<(), String> {
     let (raw, want) = line.trim_start_matches("http").rsplit_once("->").ok_or("no ->")?;
     let raw = raw.trim().trim_matches('"').replace("\\r\\n", "\r\n").replace("<32K>", &"a".repeat(32 * 1024));
     let want = want.trim().to_owned();
--- a/tests/scenarios.rs
+++ b/crates/hopyoke/tests/scenarios.rs
@@ -1,8 +1,8 @@
 //! The one runner of all scenarios: every file under `tests/scenarios` is a test.
 
 mod checks;
-mod sim;
 
+use hopyoke_world::script;
 use std::fs;
 use std::path::PathBuf;
 
@@ -26,7 +26,7 @@
         let name = file.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
         let text = fs::read_to_string(file).expect("a readable scenario");
         let began = std::time::Instant::now();
-        match sim::script::run(&text) {
+        match script::run(&text, &checks::statement) {
             Ok(()) => println!("ok   {name} ({} ms)", began.elapsed().as_millis()),
             Err(e) => {
                 failed += 1;
@@ -47,7 +47,7 @@
     let mut failed = 0;
     for seed in first..first + days {
         let text = format!("seed {seed}\nmachines a ordinary 2\nmachines b ordinary 1\nrandom 300\nuntil 420\n");
-        if let Err(e) = sim::script::run(&text) {
+        if let Err(e) = script::run(&text, &checks::statement) {
             failed += 1;
             println!("FAIL seed {seed}: {e}");
         }
