The operators' file: a typed expression language, checked for all live figures

Need: tuning (idle return, plan share, headroom, backoff, drains) stood as constants in the code.

Change: hopyoke-policy parses with pest, infers units, and by interval arithmetic over the declared ranges of the live figures refuses whatever could leave a safe range, overflow, or divide by zero; all faults are shown with excerpts. Defaults are written in the same language and shipped in the binary. The core's constants became Tuning; settings marked live follow measured figures once a second.

--- a/crates/hopyoke-core/src/job.rs
+++ b/crates/hopyoke-core/src/job.rs
@@ -161,8 +161,8 @@
     }
 
     /// Failed on several machines: the fault is its own most likely.
-    pub fn suspect(&self) -> bool {
-        self.failed_on.len() >= 3
+    pub fn suspect(&self, after: usize) -> bool {
+        self.failed_on.len() >= after
     }
 
     pub fn is_gang(&self) -> bool {
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -20,6 +20,7 @@
 mod register;
 mod rent;
 mod reports;
+mod tuning;
 
 pub use amounts::{Amounts, Team, never_runs};
 pub use batch::{Batch, BatchError, RegisterPage, Write};
@@ -29,6 +30,7 @@
 pub use ranges::Ranges;
 pub use rent::RentOutcome;
 pub use reports::Answer;
+pub use tuning::Tuning;
 
 use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
@@ -132,15 +134,12 @@
 /// takes; at the highest rate of changes this many ends take minutes.
 const MOST_ENDED: usize = 4096;
 
-/// Changes that come this close together go into one plan.
-const LEAST_PLAN_GAP: Micros = Micros::from_millis(20);
-/// However much a plan costs, work must not wait longer than this for one.
-const MOST_PLAN_GAP: Micros = Micros::from_millis(600);
 /// How often machines are looked at for what only time brings.
 const SWEEP: Micros = Micros::from_millis(100);
 
 pub struct Core {
     pub cfg: Config,
+    pub tuning: Tuning,
     /// Says that we are entitled to command; the revision at which the blocks were granted to us.
     pub token: Token,
     /// When we learned of the grant.
@@ -225,7 +224,8 @@
             changed: true,
             next_plan: Micros::ZERO,
             plan_by: Micros::ZERO,
-            plan_gap: LEAST_PLAN_GAP,
+            plan_gap: Tuning::default().plan_gap_least,
+            tuning: Tuning::default(),
             plans: 0,
             next_sweep: Micros::ZERO,
             orders_due: BTreeSet::new(),
@@ -387,7 +387,7 @@
     /// What the latest plan cost, as a span of which `share` may go to plans.
     pub fn plan_cost(&mut self, cost: Micros, share: f64) {
         let gap = Micros::from_secs_f64(cost.as_secs_f64() / share.max(0.001));
-        self.plan_gap = gap.clamp(LEAST_PLAN_GAP, MOST_PLAN_GAP);
+        self.plan_gap = gap.clamp(self.tuning.plan_gap_least, self.tuning.plan_gap_most);
     }
 
     /// Faults in the sums that are kept up to date with the changes, against sums counted anew;
--- a/crates/hopyoke-core/src/plan/consolidate.rs
+++ b/crates/hopyoke-core/src/plan/consolidate.rs
@@ -8,13 +8,6 @@
 use hopyoke_types::Micros;
 use tracing::info;
 
-/// The share of all replicas' time that may be lost to moving them.
-const MOVE_SHARE: f64 = 0.0015;
-/// What a move costs a replica whose image is there, in seconds.
-const MOVE_S: f64 = 1.5;
-/// Machines looked at for draining in one round.
-const MOST_DRAIN_LOOKS: usize = 64;
-
 impl Core {
     /// Moves replicas off machines that hold little else than free room, to ones that are fuller:
     /// the machine can then hold a gang, or be returned. A move costs the replica a moment, so a
@@ -22,11 +15,13 @@
     /// machine is allowed.)
     pub(super) fn consolidate(&mut self, plan: &Plan, now: Micros) {
         let replicas: u32 = plan.bins.iter().map(|b| b.replicas).sum();
+        let move_s = self.tuning.move_cost.as_secs_f64();
         // A small deployment earns a move a minute.
-        let earned = f64::from(replicas.max(16)) * MOVE_SHARE * (now - self.moves_earned).as_secs_f64();
+        let earned =
+            f64::from(replicas.max(16)) * self.tuning.move_share * (now - self.moves_earned).as_secs_f64();
         self.moves_earned = now;
         // At most what 20 s earn is kept, but enough for one move.
-        let most = (f64::from(replicas) * MOVE_SHARE * 20.0).max(MOVE_S + 30.0);
+        let most = (f64::from(replicas) * self.tuning.move_share * 20.0).max(move_s + 30.0);
         self.move_budget = (self.move_budget + earned).min(most);
         if now < self.next_move || self.recovering() {
             return;
@@ -46,7 +41,7 @@
         let mut free: Vec<Amounts> = hosts.iter().map(|h| plan.bins[h.1].free).collect();
         let mut moves = Vec::new();
         // Each look searches all hosts; what is not reached now is reached when others have gone.
-        for from in 0..hosts.len().min(MOST_DRAIN_LOOKS) {
+        for from in 0..hosts.len().min(self.tuning.drain_looks) {
             let bin = &plan.bins[hosts[from].1];
             let Some(m) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else { continue };
             self.looked_at(hosts.len());
@@ -70,7 +65,7 @@
                     break;
                 };
                 let fetch = self.types[plan.bins[hosts[to].1].kind].fetch_gb_per_s;
-                cost += MOVE_S + if image(&to) { 0.0 } else { needs.spec.image_gb / fetch.max(0.05) };
+                cost += move_s + if image(&to) { 0.0 } else { needs.spec.image_gb / fetch.max(0.05) };
                 free[to] = free[to] - needs.task;
                 targets.push((to, needs.task, (m.id.clone(), task, attempt, needs.spec.save_s)));
             }
@@ -94,7 +89,7 @@
     /// The replicas whose leaving would empty a machine, if it holds nothing else and all of them
     /// have run for a while.
     pub(super) fn drain_of(&self, m: &Machine, now: Micros) -> Option<Vec<TaskKey>> {
-        let settled = Micros::from_secs(40);
+        let settled = self.tuning.move_settled;
         let load = m.kept_load()?;
         if load.live == 0 || load.live != load.replicas {
             return None;
--- a/crates/hopyoke-core/src/plan/gang.rs
+++ b/crates/hopyoke-core/src/plan/gang.rs
@@ -10,10 +10,6 @@
 use std::cmp::Reverse;
 use tracing::debug;
 
-/// Each reservation sorts all machines, so only the gangs that are next in line make one. More
-/// would hold back machines for gangs whose turn is far off anyway.
-const MOST_RESERVATIONS: usize = 16;
-
 impl Core {
     /// Gangs: all tasks at once, or the replacements that a waiting gang lacks.
     pub(super) fn place_gang(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
@@ -123,7 +119,7 @@
     /// this, single tasks take every place that falls free, and gangs starve. Machines without
     /// replicas, which stay long, are chosen; the emptiest first, and in one zone if it must be.
     pub(super) fn reserve(&self, needs: &Needs, plan: &mut Plan, count: u32) {
-        if plan.reservations >= MOST_RESERVATIONS {
+        if plan.reservations >= self.tuning.gang_reservations {
             return;
         }
         plan.reservations += 1;
--- a/crates/hopyoke-core/src/plan/needs.rs
+++ b/crates/hopyoke-core/src/plan/needs.rs
@@ -93,7 +93,7 @@
                 .iter()
                 .map(|t| job.spec.types.as_ref().is_none_or(|names| names.contains(&t.name)))
                 .collect(),
-            suspect: job.suspect(),
+            suspect: job.suspect(self.tuning.suspect_after),
             spare_ordinary: false,
             zones: vec![0; self.cfg.zones.len() + 1],
         };
--- a/crates/hopyoke-core/src/plan/offers.rs
+++ b/crates/hopyoke-core/src/plan/offers.rs
@@ -53,7 +53,7 @@
             for z in zones {
                 let zone = self.cfg.zone_index(z);
                 // Zones that hold less of the fleet are preferred, slightly.
-                let burden = 1.0 + 0.4 * f64::from(here[zone]) / all + 0.001 * t.boot_s;
+                let burden = 1.0 + self.tuning.zone_burden * f64::from(here[zone]) / all + 0.001 * t.boot_s;
                 for spot in [true, false] {
                     let price = if spot { t.spot_price } else { t.price };
                     let offer = Offer { machine_type: t.name.clone(), zone: z.clone(), spot };
--- a/crates/hopyoke-core/src/plan/preempt.rs
+++ b/crates/hopyoke-core/src/plan/preempt.rs
@@ -12,15 +12,12 @@
 /// What making room costs, in which bin, and who must go.
 type Room = (f64, usize, Vec<TaskKey>);
 
-/// Each search looks at every machine with lesser work; the next plan goes on with the rest.
-const MOST_PREEMPT_SEARCHES: usize = 32;
-
 impl Core {
     /// Makes room for a production task on a machine that is up by stopping tasks of arrays of
     /// lower priority: nobody else is preempted, for arrays lose least. The room is taken in the
     /// plan; the task starts once the others have exited. Returns the zone.
     pub(super) fn preempt(&self, needs: &Needs, plan: &mut Plan, now: Micros) -> Option<usize> {
-        if plan.preempt_searches >= MOST_PREEMPT_SEARCHES {
+        if plan.preempt_searches >= self.tuning.preempt_searches {
             return None;
         }
         plan.preempt_searches += 1;
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -69,7 +69,7 @@
     pub(super) victims: Vec<(MachineId, TaskKey)>,
     /// Gangs that have reserved machines.
     pub(super) reservations: usize,
-    /// Tasks looked at by the search for room by preemption; see [`MOST_PREEMPT_SEARCHES`].
+    /// Tasks looked at by the search for room by preemption.
     pub(super) preempt_searches: usize,
 }
 
--- a/crates/hopyoke-core/src/records.rs
+++ b/crates/hopyoke-core/src/records.rs
@@ -21,12 +21,6 @@
 /// Bodies are limited to 64 KiB; a batch stays well below.
 const MOST_BYTES: usize = 40 * 1024;
 
-/// Results of single tasks wait for others of their job, the longer the scarcer the rate is: until
-/// they are recorded their workers keep reporting them. First starts and ends must not wait for them.
-const LEAST_GATHER: Micros = Micros::from_secs(1);
-const GATHER: Micros = Micros::from_secs(4);
-const MOST_GATHER: Micros = Micros::from_secs(12);
-
 impl Writes {
     pub fn new(cfg: &Config, now: Micros) -> Writes {
         Writes {
@@ -92,7 +86,7 @@
         // Gangs' terms first: their tasks wait for it. Then machines, which wait for their first
         // task, then whatever completes, then what can be gathered.
         let mut ranked: Vec<(u8, JobId)> = Vec::new();
-        let jobs = &self.jobs;
+        let (jobs, tuning) = (&self.jobs, &self.tuning);
         w.due.retain(|id, since| {
             let Some(job) = jobs.get(id) else { return false };
             if job.writing {
@@ -106,9 +100,9 @@
                 0
             } else if job.is_done() {
                 1
-            } else if (ample && now >= since + LEAST_GATHER)
-                || (fair && now >= since + GATHER)
-                || now >= since + MOST_GATHER
+            } else if (ample && now >= since + tuning.gather_least)
+                || (fair && now >= since + tuning.gather)
+                || now >= since + tuning.gather_most
             {
                 2
             } else {
--- a/crates/hopyoke-core/src/rent.rs
+++ b/crates/hopyoke-core/src/rent.rs
@@ -61,15 +61,14 @@
         self.refusals.get(offer).is_some_and(|r| now < r.until)
     }
 
-    fn refuse(&mut self, offer: &Offer, now: Micros) {
+    fn refuse(&mut self, offer: &Offer, pause: Micros, now: Micros) {
         let r = self.refusals.entry(offer.clone()).or_default();
         r.times += 1;
-        r.until = now + Micros::from_secs(8u64 << (r.times - 1).min(2));
+        r.until = now + pause.times(1 << (r.times - 1).min(2));
     }
 }
 
 const MOST_PER_REQUEST: u32 = 50;
-const MOST_OPEN: usize = 4;
 const MOST_TRIES: u32 = 8;
 const MOST_PER_DELETE: usize = 100;
 /// Calls to the cloud are scarce: while one deletion is under way the next one gathers machines,
@@ -99,7 +98,7 @@
         }
         for (offer, count) in demand.offers {
             let busy = self.rents.open.values().any(|r| r.offer == offer);
-            if busy || self.rents.open.len() >= MOST_OPEN {
+            if busy || self.rents.open.len() >= self.tuning.rent_requests {
                 continue;
             }
             let request = self.new_request();
@@ -119,7 +118,7 @@
                 let o = open.offer;
                 info!(machine_type = %o.machine_type, zone = %o.zone, spot = o.spot, wanted = open.count, got = ids.len(), "rented");
                 if (ids.len() as u32) < open.count {
-                    self.rents.refuse(&o, now);
+                    self.rents.refuse(&o, self.tuning.refusal_pause, now);
                 } else {
                     self.rents.refusals.remove(&o);
                 }
@@ -138,7 +137,7 @@
             RentOutcome::NoCapacity => {
                 if let Some(open) = self.rents.open.remove(request) {
                     info!(machine_type = %open.offer.machine_type, zone = %open.offer.zone, spot = open.offer.spot, "no capacity");
-                    self.rents.refuse(&open.offer, now);
+                    self.rents.refuse(&open.offer, self.tuning.refusal_pause, now);
                 }
             }
             RentOutcome::Unsure => {
@@ -206,19 +205,24 @@
         self.gone.retain(|_, at| now < *at + remember);
     }
 
+    /// A production job was first seen of late.
+    pub fn production_arriving(&self, now: Micros) -> bool {
+        let lately = self.tuning.keep_ready_for;
+        self.jobs.values().any(|j| j.spec.priority == Priority::Production && now < j.seen_at + lately)
+    }
+
     /// Returns machines that nobody needs, that are faulty, or that never came up.
     pub(super) fn return_idle(&mut self, now: Micros) {
-        let idle_for = Micros::from_secs(10);
+        let idle_for = self.tuning.idle_return;
         let mut returns = Vec::new();
         // While production work arrives, one ordinary machine stays ready for the next of it.
-        let lately = Micros::from_secs(120);
-        let recent = |j: &super::Job| j.spec.priority == Priority::Production && now < j.seen_at + lately;
-        let arriving = self.jobs.values().any(recent);
+        let arriving = self.production_arriving(now);
         let mut idle_ordinary = self
             .machines
             .values()
             .filter(|m| !m.spot && m.phase == Phase::Up && m.slots().is_empty() && !m.deleting && !m.faulty)
             .count();
+        let patience = |boot: Micros| Micros((boot.0 as f64 * self.tuning.boot_patience) as u64);
         let boots: BTreeMap<&str, Micros> =
             self.types.iter().map(|t| (t.name.as_str(), Micros::from_secs_f64(t.boot_s))).collect();
         for m in self.machines.values_mut() {
@@ -228,12 +232,13 @@
                 m.idle_since = Some(now);
             }
             let boot = boots.get(m.machine_type.as_str()).copied().unwrap_or(Micros::from_secs(60));
-            let never_up = m.phase == Phase::Booting && now >= m.rented_at + boot.times(4) + Micros::from_secs(30);
+            let never_up =
+                m.phase == Phase::Booting && now >= m.rented_at + patience(boot) + Micros::from_secs(30);
             let idle = m.idle_since.is_some_and(|t| now >= t + idle_for) && !self.recovering;
             let faulty = m.faulty && !m.has_live();
             let mut unneeded = idle && !m.has_live();
             if unneeded && !m.spot && !m.deleting {
-                if arriving && idle_ordinary <= 1 {
+                if arriving && idle_ordinary <= self.tuning.keep_ready {
                     unneeded = false;
                 }
                 idle_ordinary = idle_ordinary.saturating_sub(1);
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -283,10 +283,10 @@
     fn task_failed(&mut self, id: &MachineId, task: &TaskId, now: Micros) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.failed_on.insert(id.clone());
-        let bad_job = job.suspect();
+        let bad_job = job.suspect(self.tuning.suspect_after);
         if bad_job && now >= job.hold_until {
             // Jobs that fail everywhere are started anew ever more rarely.
-            let wait = Micros::from_secs(10u64 << job.backoffs.min(4));
+            let wait = self.tuning.job_backoff.times(1 << job.backoffs.min(4));
             job.backoffs += 1;
             job.hold_until = now + wait;
             let machines = job.failed_on.len();
@@ -298,8 +298,8 @@
             m.failed_jobs.insert(task.job.clone());
             m.failures += 1;
             // A faulty machine fails at once and so would draw the whole queue: pause it first.
-            m.cool_until = now + Micros::from_secs(5);
-            if m.failed_jobs.len() >= 2 && !m.faulty {
+            m.cool_until = now + self.tuning.machine_pause;
+            if m.failed_jobs.len() >= self.tuning.faulty_after && !m.faulty {
                 m.faulty = true;
                 info!(machine = %id, zone = %m.zone, failures = m.failures, "machine judged faulty");
             }
--- /dev/null
+++ b/crates/hopyoke-policy/src/eval.rs
@@ -0,0 +1,190 @@
+//! Values of settings, given the live figures.
+
+use crate::check::{Policy, Symbol};
+use crate::syntax::{Expr, Function, Node, Op};
+use crate::value::{Type, Value, whole};
+use hopyoke_types::Micros;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// What is measured, by name; what is not given counts as the least of its range, or false.
+#[derive(Debug, Clone, Default)]
+pub struct Figures(BTreeMap<&'static str, Value>);
+
+impl Figures {
+    /// Sets a figure: numbers as they are, shares as fractions, durations in microseconds.
+    pub fn number(mut self, name: &'static str, value: f64) -> Figures {
+        self.0.insert(name, Value::Number(value));
+        self
+    }
+
+    /// Sets a figure that is true or false.
+    pub fn boolean(mut self, name: &'static str, value: bool) -> Figures {
+        self.0.insert(name, Value::Boolean(value));
+        self
+    }
+}
+
+/// The settings' values at one moment.
+#[derive(Debug, Clone)]
+pub struct Values(BTreeMap<String, (Type, Value)>);
+
+impl Values {
+    fn numeric(&self, name: &str, want: Type) -> f64 {
+        match self.0.get(name) {
+            Some((ty, Value::Number(x))) if *ty == want => *x,
+            other => {
+                // Only a name that is not declared, or of another type: a fault of the program that
+                // its tests find (they read every setting).
+                debug_assert!(false, "no {want} is named {name}: {other:?}");
+                0.0
+            }
+        }
+    }
+
+    /// A duration.
+    pub fn duration(&self, name: &str) -> Micros {
+        Micros(self.numeric(name, Type::Duration).max(0.0) as u64)
+    }
+
+    /// A plain number.
+    pub fn number(&self, name: &str) -> f64 {
+        self.numeric(name, Type::Number)
+    }
+
+    /// A plain number as a count; fractions are dropped.
+    pub fn count(&self, name: &str) -> usize {
+        self.numeric(name, Type::Number).max(0.0) as usize
+    }
+
+    /// A share as a fraction: 25% is 0.25.
+    pub fn share(&self, name: &str) -> f64 {
+        self.numeric(name, Type::Share)
+    }
+
+    /// True or false.
+    pub fn boolean(&self, name: &str) -> bool {
+        matches!(self.0.get(name), Some((Type::Boolean, Value::Boolean(true))))
+    }
+
+    /// All settings with type and value, by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, Type, &Value)> {
+        self.0.iter().map(|(n, (t, v))| (n.as_str(), *t, v))
+    }
+}
+
+struct Moment<'a> {
+    policy: &'a Policy,
+    figures: &'a Figures,
+    known: RefCell<BTreeMap<&'a str, (Type, Value)>>,
+}
+
+impl Policy {
+    /// The values of all settings. Figures outside their declared range are brought into it, so
+    /// that what the checker proved holds.
+    pub fn evaluate(&self, figures: &Figures) -> Values {
+        let moment = Moment { policy: self, figures, known: RefCell::default() };
+        let settings = self.settings().iter().map(|s| {
+            let value = moment.name(&s.name);
+            (s.name.clone(), value)
+        });
+        Values(settings.collect())
+    }
+
+    /// The operators' file sets something that may depend on live figures: values are to be
+    /// found anew as these change.
+    pub fn is_live(&self) -> bool {
+        self.settings().iter().any(|s| s.live && s.overridden)
+    }
+}
+
+impl<'a> Moment<'a> {
+    fn name(&self, name: &str) -> (Type, Value) {
+        if let Some(v) = self.known.borrow().get(name) {
+            return v.clone();
+        }
+        let Some((key, symbol)) = self.policy.symbols.get_key_value(name) else {
+            return (Type::Number, Value::Number(0.0));
+        };
+        let value = match symbol {
+            Symbol::Figure { ty, low, high } => {
+                let given = self.figures.0.get(name).cloned();
+                let value = match given {
+                    Some(Value::Number(x)) if ty.is_numeric() => {
+                        Value::Number(if x.is_nan() { *low } else { x.clamp(*low, *high) })
+                    }
+                    Some(Value::Boolean(b)) if *ty == Type::Boolean => Value::Boolean(b),
+                    _ if *ty == Type::Boolean => Value::Boolean(false),
+                    _ => Value::Number(*low),
+                };
+                (*ty, value)
+            }
+            Symbol::Setting { expr, .. } | Symbol::Local { expr } => self.value(&expr.expr),
+        };
+        let key: &'a str = key;
+        self.known.borrow_mut().insert(key, value.clone());
+        value
+    }
+
+    fn value(&self, e: &Expr) -> (Type, Value) {
+        use Value::{Boolean, Number};
+        match &e.node {
+            Node::Literal(ty, v) => (*ty, v.clone()),
+            Node::Name(n) => self.name(n),
+            Node::Negative(a) => match self.value(a) {
+                (ty, Number(x)) => (ty, Number(-x)),
+                other => other,
+            },
+            Node::Not(a) => (Type::Boolean, Boolean(!self.truth(a))),
+            Node::Binary(Op::And, a, b) => (Type::Boolean, Boolean(self.truth(a) && self.truth(b))),
+            Node::Binary(Op::Or, a, b) => (Type::Boolean, Boolean(self.truth(a) || self.truth(b))),
+            Node::Binary(op, a, b) => self.binary(*op, a, b),
+            Node::If(c, a, b) => self.value(if self.truth(c) { a } else { b }),
+            Node::Call(f, args) => {
+                let values: Vec<(Type, f64)> = args.iter().map(|a| self.number(a)).collect();
+                let first = values[0];
+                let x = match f {
+                    Function::Min => values.iter().fold(first.1, |s, v| s.min(v.1)),
+                    Function::Max => values.iter().fold(first.1, |s, v| s.max(v.1)),
+                    Function::Clamp => first.1.max(values[1].1).min(values[2].1),
+                };
+                (first.0, Number(x))
+            }
+        }
+    }
+
+    fn truth(&self, e: &Expr) -> bool {
+        matches!(self.value(e).1, Value::Boolean(true))
+    }
+
+    fn number(&self, e: &Expr) -> (Type, f64) {
+        match self.value(e) {
+            (ty, Value::Number(x)) => (ty, x),
+            (ty, _) => (ty, 0.0),
+        }
+    }
+
+    fn binary(&self, op: Op, a: &Expr, b: &Expr) -> (Type, Value) {
+        use Value::{Boolean, Number};
+        let (x, y) = (self.value(a), self.value(b));
+        if matches!(op, Op::Equal | Op::NotEqual) {
+            return (Type::Boolean, Boolean((x.1 == y.1) == (op == Op::Equal)));
+        }
+        let (Number(p), Number(q)) = (&x.1, &y.1) else { return (Type::Boolean, Boolean(false)) };
+        let (p, q) = (*p, *q);
+        let of = |ty: Option<Type>, v: f64| {
+            let ty = ty.unwrap_or(Type::Number);
+            (ty, Number(whole(ty, v)))
+        };
+        match op {
+            Op::Add => of(Some(x.0), p + q),
+            Op::Sub => of(Some(x.0), p - q),
+            Op::Mul => of(Type::product(x.0, y.0), p * q),
+            Op::Div => of(Type::quotient(x.0, y.0), p / q),
+            Op::Less => (Type::Boolean, Boolean(p < q)),
+            Op::LessEqual => (Type::Boolean, Boolean(p <= q)),
+            Op::Greater => (Type::Boolean, Boolean(p > q)),
+            _ => (Type::Boolean, Boolean(p >= q)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-policy/src/fault.rs
@@ -0,0 +1,77 @@
+//! What is wrong with a file, and where.
+
+use annotate_snippets::{AnnotationKind, Level, Renderer, Snippet};
+use std::fmt;
+use std::ops::Range;
+
+/// One fault.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// The bytes of the text that it is about.
+    pub at: Range<usize>,
+    /// Line and column of its start, counted from 1; the column in characters.
+    pub line: usize,
+    pub column: usize,
+    /// What is wrong.
+    pub message: String,
+    /// What was expected there, or what else helps.
+    pub expected: String,
+}
+
+/// All faults of a file, in its order; shown with excerpts of the text.
+#[derive(Debug, Clone)]
+pub struct Faults {
+    pub file: String,
+    pub faults: Vec<Fault>,
+    text: String,
+}
+
+impl Faults {
+    pub(crate) fn new(file: &str, text: &str) -> Faults {
+        Faults { file: file.to_owned(), faults: Vec::new(), text: text.to_owned() }
+    }
+
+    pub(crate) fn add(&mut self, at: Range<usize>, message: impl Into<String>, expected: impl Into<String>) {
+        let mut floor = at.start.min(self.text.len());
+        while !self.text.is_char_boundary(floor) {
+            floor -= 1;
+        }
+        let mut end = at.end.clamp(floor, self.text.len());
+        while !self.text.is_char_boundary(end) {
+            end += 1;
+        }
+        let before = &self.text[..floor];
+        let line_start = before.rfind('\n').map_or(0, |i| i + 1);
+        let fault = Fault {
+            at: floor..end,
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+            message: message.into(),
+            expected: expected.into(),
+        };
+        // A name that is wrong in itself is wrong wherever it is used: said once for each place.
+        if !self.faults.contains(&fault) {
+            self.faults.push(fault);
+        }
+    }
+
+    pub(crate) fn sorted(mut self) -> Faults {
+        self.faults.sort_by_key(|f| f.at.start);
+        self
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for fault in &self.faults {
+            let mark = AnnotationKind::Primary.span(fault.at.clone()).label(&fault.expected);
+            let snippet = Snippet::source(&self.text).path(&self.file).annotation(mark);
+            let group = Level::ERROR.primary_title(&fault.message).element(snippet);
+            writeln!(f, "{}", Renderer::plain().render(&[group]))?;
+        }
+        let n = self.faults.len();
+        write!(f, "{}: {n} fault{}, nothing was applied", self.file, if n == 1 { "" } else { "s" })
+    }
+}
+
+impl std::error::Error for Faults {}
--- /dev/null
+++ b/crates/hopyoke-policy/src/value.rs
@@ -0,0 +1,164 @@
+//! Types, values, and intervals of values.
+//!
+//! Durations are whole microseconds and money whole millionths, both held in an `f64` within
+//! ±2⁵³, where it is exact; shares are fractions (25% is 0.25).
+
+use std::fmt;
+
+/// What an expression's value is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Type {
+    Duration,
+    Number,
+    Share,
+    Money,
+    Boolean,
+    Text,
+}
+
+impl Type {
+    pub(crate) fn parse(s: &str) -> Option<Type> {
+        Some(match s {
+            "duration" => Type::Duration,
+            "number" => Type::Number,
+            "share" => Type::Share,
+            "money" => Type::Money,
+            "boolean" => Type::Boolean,
+            "text" => Type::Text,
+            _ => return None,
+        })
+    }
+
+    /// It has an order and arithmetic.
+    pub(crate) fn is_numeric(self) -> bool {
+        !matches!(self, Type::Boolean | Type::Text)
+    }
+
+    /// The largest magnitude that a value, or any step on the way to it, may have.
+    pub(crate) fn most(self) -> f64 {
+        match self {
+            Type::Duration | Type::Money => 9_007_199_254_740_992.0,
+            _ => 1e15,
+        }
+    }
+
+    /// The type of `a * b`, if there is one.
+    pub(crate) fn product(a: Type, b: Type) -> Option<Type> {
+        use Type::{Number, Share};
+        match (a, b) {
+            (Number, t) | (t, Number) if t.is_numeric() => Some(t),
+            (Share, t) | (t, Share) if t.is_numeric() => Some(t),
+            _ => None,
+        }
+    }
+
+    /// The type of `a / b`, if there is one.
+    pub(crate) fn quotient(a: Type, b: Type) -> Option<Type> {
+        match (a, b) {
+            (a, b) if a == b && a.is_numeric() => Some(Type::Number),
+            (a, Type::Number | Type::Share) if a.is_numeric() => Some(a),
+            _ => None,
+        }
+    }
+
+    /// An example, for messages.
+    pub(crate) fn example(self) -> &'static str {
+        match self {
+            Type::Duration => "a duration such as 40s",
+            Type::Number => "a number such as 4",
+            Type::Share => "a share such as 15%",
+            Type::Money => "money such as $2.50",
+            Type::Boolean => "true or false",
+            Type::Text => "a text in quotes",
+        }
+    }
+}
+
+impl fmt::Display for Type {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Type::Duration => "duration",
+            Type::Number => "number",
+            Type::Share => "share",
+            Type::Money => "money",
+            Type::Boolean => "boolean",
+            Type::Text => "text",
+        })
+    }
+}
+
+/// A value; what a number means is said by its [`Type`].
+#[derive(Debug, Clone, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Boolean(bool),
+    Text(String),
+}
+
+/// Durations and money are whole.
+pub(crate) fn whole(ty: Type, x: f64) -> f64 {
+    if matches!(ty, Type::Duration | Type::Money) { x.round() } else { x }
+}
+
+fn trim(x: f64) -> String {
+    let s = format!("{x:.6}");
+    let s = s.trim_end_matches('0').trim_end_matches('.');
+    if s.is_empty() || s == "-0" { "0".into() } else { s.into() }
+}
+
+/// Writes a value as the language would read it.
+pub fn show(ty: Type, value: &Value) -> String {
+    match (ty, value) {
+        (_, Value::Boolean(b)) => b.to_string(),
+        (_, Value::Text(t)) => format!("\"{t}\""),
+        (Type::Duration, Value::Number(us)) => {
+            let (unit, size) = [("d", 86_400e6), ("h", 3600e6), ("min", 60e6), ("s", 1e6), ("ms", 1e3)]
+                .into_iter()
+                .find(|(u, size)| us.abs() >= *size && (us % size == 0.0 || *u == "s"))
+                .unwrap_or(if *us == 0.0 { ("s", 1e6) } else { ("us", 1.0) });
+            format!("{}{unit}", trim(us / size))
+        }
+        (Type::Share, Value::Number(x)) => format!("{}%", trim(x * 100.0)),
+        (Type::Money, Value::Number(x)) => format!("${}", trim(x / 1e6)),
+        (_, Value::Number(x)) => trim(*x),
+    }
+}
+
+/// All values that an expression can take.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Span {
+    Number { low: f64, high: f64 },
+    Boolean { yes: bool, no: bool },
+    Text(Option<String>),
+}
+
+impl Span {
+    pub fn of(value: &Value) -> Span {
+        match value {
+            Value::Number(x) => Span::Number { low: *x, high: *x },
+            Value::Boolean(b) => Span::Boolean { yes: *b, no: !*b },
+            Value::Text(t) => Span::Text(Some(t.clone())),
+        }
+    }
+
+    /// All values of either.
+    pub fn join(self, other: Span) -> Span {
+        match (self, other) {
+            (Span::Number { low: a, high: b }, Span::Number { low: c, high: d }) => {
+                Span::Number { low: a.min(c), high: b.max(d) }
+            }
+            (Span::Boolean { yes: a, no: b }, Span::Boolean { yes: c, no: d }) => {
+                Span::Boolean { yes: a || c, no: b || d }
+            }
+            (Span::Text(a), Span::Text(b)) if a == b => Span::Text(a),
+            _ => Span::Text(None),
+        }
+    }
+
+    pub fn bounds(&self) -> Option<(f64, f64)> {
+        match self {
+            Span::Number { low, high } => Some((*low, *high)),
+            _ => None,
+        }
+    }
+}
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -3,9 +3,11 @@
 
 use crate::node::{Leading, Node};
 use crate::state::{FLEET, JOBS, LEADER, StateError, TxnEnd, block_key, end_key, fleet_key, job_key};
+use crate::tuning;
 use crate::workers::Direct;
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
+use hopyoke_policy::Figures;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, Mark, Token};
@@ -159,12 +161,18 @@
         bell: Bell::default(),
         write_bell: Bell::default(),
         cancel: cancel.clone(),
+        plan_cost: Cell::new(Micros::ZERO),
+        plans_from: Cell::new(now),
+        plans_may: node.settings.facts.limits.cpu_share,
     });
     *node.leading.borrow_mut() = Some(leading.clone());
     runtime::spawn_until(cancel.clone(), watch_jobs(node.clone(), leading.clone(), revision));
     runtime::spawn_until(cancel.clone(), write_records(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), list_machines(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), act(node.clone(), leading.clone()));
+    if node.policy.is_live() {
+        runtime::spawn_until(cancel.clone(), follow_figures(node.clone(), leading.clone()));
+    }
     // Until the lease is lost, or no worker reaches us.
     let starved = loop {
         if cancel.is_cancelled() {
@@ -235,6 +243,7 @@
         .collect();
     let jobs = jobs.into_iter().filter_map(job_of).collect();
     let mut core = Core::new(node.config.clone(), token, jobs, register, granted_at);
+    core.tuning = tuning::tuning_of(&node.policy.evaluate(&Figures::default()));
     core.set_catalog(node.catalog.borrow().clone());
     Some((core, revision))
 }
@@ -426,6 +435,14 @@
     }
 }
 
+/// Settings that depend on live figures follow them.
+async fn follow_figures(node: Rc<Node>, leading: Rc<Leading>) {
+    loop {
+        tuning::refresh(&node.policy, &leading);
+        runtime::sleep(Micros::from_secs(1)).await;
+    }
+}
+
 /// Lets the core decide, and does what it wants done.
 async fn act(node: Rc<Node>, leading: Rc<Leading>) {
     let direct = Rc::new(Direct::new(node.settings.facts.limits.max_connections));
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`serve`]: starts a node's routines and routes requests.
 //! - [`mesh`]: answers peers and operators.
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
+//! - [`tuning`]: the operators' settings and the core's tuning.
 //! - [`node`]: what the routines of one node share.
 //! - [`links`], [`finals`], [`promises`], [`state`], [`cloud`]: calls to peers, remembered final
 //!   states, promises to peers, clients of the state service and the cloud.
@@ -21,4 +22,5 @@
 pub mod serve;
 pub mod state;
 pub mod status;
+pub mod tuning;
 pub mod workers;
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -7,6 +7,7 @@
 use crate::state::State;
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Config, Core};
+use hopyoke_policy::Policy;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
@@ -17,6 +18,8 @@
 
 pub struct Node {
     pub settings: Settings,
+    /// The operators' own settings.
+    pub policy: Policy,
     pub config: Config,
     pub state: State,
     pub cloud: Cloud,
@@ -44,9 +47,20 @@
     /// Rung when something is to be written.
     pub write_bell: Bell,
     pub cancel: Cancel,
+    /// What plans have cost since `plans_from`, and the share of what they might have.
+    pub plan_cost: Cell<Micros>,
+    pub plans_from: Cell<Micros>,
+    pub plans_may: f64,
 }
 
 impl Leading {
+    /// The share of this node's processor share that plans took since this was last asked.
+    pub fn plan_busy(&self) -> f64 {
+        let now = runtime::now();
+        let span = (now - self.plans_from.replace(now)).as_secs_f64().max(1e-3);
+        self.plan_cost.replace(Micros::ZERO).as_secs_f64() / (span * self.plans_may.max(1e-3))
+    }
+
     /// We may command workers, and renew their leases. Past our lease another node may lead;
     /// without news of cancellations we must not keep tasks alive. (Guards `ran_twice` and
     /// `ran_cancelled`.)
@@ -55,21 +69,23 @@
     }
 
     /// Does something with the core that may make a plan, and has the time between plans follow
-    /// from what that cost: a third of the processor's share may go to plans.
+    /// from what that cost: a part (`plan_share`) of the processor's share may go to plans.
     pub fn planning<T>(&self, node: &Node, core: &mut Core, f: impl FnOnce(&mut Core) -> T) -> T {
         let (plans, began) = (core.plans(), runtime::now());
         let out = f(core);
         if core.plans() != plans {
             let cost = runtime::now() - began;
+            self.plan_cost.set(self.plan_cost.get() + cost);
             debug!(cost_us = cost.0, machines = core.machines.len(), jobs = core.jobs.len(), "plan");
-            core.plan_cost(cost, node.settings.facts.limits.cpu_share / 3.0);
+            let share = node.settings.facts.limits.cpu_share * core.tuning.plan_share;
+            core.plan_cost(cost, share);
         }
         out
     }
 }
 
 impl Node {
-    pub fn new(settings: Settings) -> Node {
+    pub fn new(settings: Settings, policy: Policy) -> Node {
         Node {
             config: Config::of(&settings),
             state: State::new(settings.endpoints.state),
@@ -82,6 +98,7 @@
             links: Links::new(&settings.peers),
             cancel: Cancel::new(),
             settings,
+            policy,
         }
     }
 
--- a/crates/hopyoke/src/serve.rs
+++ b/crates/hopyoke/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use crate::{api, lead, mesh, workers};
+use hopyoke_policy::Policy;
 use hopyoke_runtime::http::{self, Limits, Request, Response};
 use hopyoke_runtime::{self as runtime, TcpListener};
 use hopyoke_settings::Settings;
@@ -12,7 +13,7 @@
 use tracing::{debug, info};
 
 /// Serves until the process ends.
-pub fn serve(settings: Settings) -> io::Result<()> {
+pub fn serve(settings: Settings, policy: Policy) -> io::Result<()> {
     let listen = settings.listen;
     let failed = Rc::new(RefCell::new(None));
     let failure = failed.clone();
@@ -24,7 +25,7 @@
                 return;
             }
         };
-        let node = Rc::new(Node::new(settings));
+        let node = Rc::new(Node::new(settings, policy));
         info!(node = %node.settings.node, zone = %node.settings.zone, "serving");
         runtime::spawn_until(node.cancel.clone(), keep_catalog(node.clone()));
         runtime::spawn_until(node.cancel.clone(), lead::run(node.clone()));
--- /dev/null
+++ b/crates/hopyoke/src/tuning.rs
@@ -0,0 +1,78 @@
+//! From the operators' settings to the tuning of the core, and from the core to live figures.
+
+use crate::node::Leading;
+use hopyoke_core::{Core, Phase, Tuning};
+use hopyoke_policy::{Figures, Values};
+use hopyoke_runtime as runtime;
+use hopyoke_types::Micros;
+use tracing::info;
+
+/// The tuning that these values ask for. Every declared setting is read here.
+pub fn tuning_of(v: &Values) -> Tuning {
+    Tuning {
+        idle_return: v.duration("idle_return"),
+        keep_ready: v.count("keep_ready"),
+        keep_ready_for: v.duration("keep_ready_for"),
+        boot_patience: v.number("boot_patience"),
+        rent_requests: v.count("rent_requests"),
+        refusal_pause: v.duration("refusal_pause"),
+        zone_burden: v.share("zone_burden"),
+        plan_share: v.share("plan_share"),
+        plan_gap_least: v.duration("plan_gap_least"),
+        plan_gap_most: v.duration("plan_gap_most"),
+        gang_reservations: v.count("gang_reservations"),
+        preempt_searches: v.count("preempt_searches"),
+        move_share: v.share("move_share"),
+        move_cost: v.duration("move_cost"),
+        move_settled: v.duration("move_settled"),
+        drain_looks: v.count("drain_looks"),
+        job_backoff: v.duration("job_backoff"),
+        suspect_after: v.count("suspect_after"),
+        machine_pause: v.duration("machine_pause"),
+        faulty_after: v.count("faulty_after"),
+        gather_least: v.duration("gather_least"),
+        gather: v.duration("gather"),
+        gather_most: v.duration("gather_most"),
+    }
+}
+
+/// What is measured now. Looks at all machines and jobs once, so it is not for every plan.
+fn figures(core: &Core, plan_busy: f64, now: Micros) -> Figures {
+    let up = || core.machines.values().filter(|m| m.phase == Phase::Up);
+    let day_us = 86_400_000_000;
+    let hour = (runtime::time_of_day().0 % day_us) as f64 / 3_600_000_000.0;
+    Figures::default()
+        .number("machines", up().count() as f64)
+        .number("idle_machines", up().filter(|m| m.slots().is_empty()).count() as f64)
+        .number("spot_machines", up().filter(|m| m.spot).count() as f64)
+        .number("unfinished_jobs", core.jobs.len() as f64)
+        .number("unplaced_jobs", core.jobs.values().filter(|j| j.unplaced() > 0).count() as f64)
+        .boolean("production_arriving", core.production_arriving(now))
+        .number("plan_busy", plan_busy)
+        .number("hour", hour)
+}
+
+/// Finds the settings' values anew; says so if they have changed.
+pub fn refresh(policy: &hopyoke_policy::Policy, leading: &Leading) {
+    let now = runtime::now();
+    let mut core = leading.core.borrow_mut();
+    let values = policy.evaluate(&figures(&core, leading.plan_busy(), now));
+    let tuning = tuning_of(&values);
+    if tuning != core.tuning {
+        info!(?tuning, "settings follow the live figures");
+        core.tuning = tuning;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hopyoke_policy::Policy;
+
+    /// The core's defaults are those of the policy language's built-in file.
+    #[test]
+    fn defaults_agree() {
+        let values = Policy::defaults().evaluate(&Figures::default());
+        assert_eq!(tuning_of(&values), Tuning::default());
+    }
+}
