The core learns run times, dates runs across takeovers, and can use them

Need: placement with learned estimates, and learning that a change of leaders does not undo.

Change: the core feeds the learner with starts, ends, stops and losses; attempts' numbers tell when they were commanded, so a new leader knows how long what it finds has run; pages go to learn/N behind all other records, within a share of the writes. Uses, each a setting, all off for now: victims, backfill of reserved machines, demand, order by latest start, slow machines drained.

--- a/crates/hopyoke-core/src/batch.rs
+++ b/crates/hopyoke-core/src/batch.rs
@@ -1,6 +1,7 @@
 //! What is written to the state service: the vocabulary that records and the register share.
 
 use super::job::{EndRecord, JobRecord};
+use hopyoke_runtimes::{Page, PageKey};
 use hopyoke_types::{JobId, MachineId, Mark};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -16,6 +17,8 @@
     Page { key: String, mark: Mark, page: Option<RegisterPage> },
     /// Drop a page of the register whatever it holds.
     DropPage { key: String },
+    /// Replace a page of learned run times.
+    Learned { key: PageKey, page: Page },
 }
 
 #[derive(Debug, Clone)]
--- a/crates/hopyoke-core/src/fleet.rs
+++ b/crates/hopyoke-core/src/fleet.rs
@@ -139,6 +139,8 @@
     pub failures: u32,
     /// Judged faulty: nothing more is placed on it, and it is returned.
     pub faulty: bool,
+    /// Far slower than its peers: nothing more is placed on it, and it is returned once it is empty.
+    pub slow: bool,
     /// A refused start: nothing is placed here before this.
     pub cool_until: Micros,
     /// It stands in the register of machines that may hold tasks.
@@ -180,6 +182,7 @@
             failed_jobs: BTreeSet::new(),
             failures: 0,
             faulty: false,
+            slow: false,
             cool_until: Micros::ZERO,
             registered: false,
             deleting: false,
--- a/crates/hopyoke-core/src/job.rs
+++ b/crates/hopyoke-core/src/job.rs
@@ -75,6 +75,8 @@
     pub gang_started: bool,
     /// The current gang placement is being wound up: all its tasks must be gone before the next.
     pub gang_failing: bool,
+    /// A run of it was cut short and may have saved progress.
+    pub resumed: bool,
     /// Attempts that hold a place: from their command until their proven exit.
     pub places: BTreeMap<u32, Vec<(MachineId, Attempt)>>,
     /// Machines on which a task of this job failed since one last succeeded.
@@ -110,6 +112,7 @@
             recorded_term: record.term,
             gang_started: false,
             gang_failing: false,
+            resumed: false,
             places: BTreeMap::new(),
             failed_on: BTreeSet::new(),
             backoffs: 0,
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entitlement;
 mod fleet;
 mod job;
+mod learn;
 mod plan;
 mod ranges;
 mod records;
@@ -27,6 +28,7 @@
 pub use check::Verdict;
 pub use fleet::{Load, Machine, Phase, Slot, SlotState};
 pub use job::{EndRecord, Job, JobRecord};
+pub use learn::{Ask, Past, When};
 pub use ranges::Ranges;
 pub use rent::RentOutcome;
 pub use reports::Answer;
@@ -34,7 +36,7 @@
 
 use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
-use hopyoke_types::{Attempt, JobId, MachineId, Mark, Token};
+use hopyoke_types::{JobId, MachineId, Mark, Token};
 use hopyoke_wire::cloud::MachineType;
 use hopyoke_wire::worker::Order;
 use std::cell::Cell;
@@ -162,6 +164,7 @@
     counter: u64,
     rents: rent::Rents,
     writes: records::Writes,
+    learned: learn::Learned,
     actions: VecDeque<Action>,
     /// Something changed that a plan must see.
     changed: bool,
@@ -219,6 +222,7 @@
             ended_set: BTreeSet::new(),
             recovering: false,
             counter: 0,
+            learned: learn::Learned::default(),
             rents: rent::Rents::default(),
             actions: VecDeque::new(),
             changed: true,
@@ -348,6 +352,7 @@
             self.lapse_leases(now);
             self.give_up_silent(now);
             self.note_recovery(now);
+            self.look_at_runs(now);
         }
         if self.plan_due(now) {
             self.changed = false;
@@ -449,13 +454,6 @@
         m.phase != Phase::Lost && !m.settled(self.token)
     }
 
-    /// A number that no other start of any task has had: the token is unique and the counter is
-    /// ours alone.
-    fn new_attempt(&mut self) -> Attempt {
-        self.counter += 1;
-        Attempt((self.token.0 << 24) | (self.counter & 0xff_ffff))
-    }
-
     fn new_request(&mut self) -> String {
         self.counter += 1;
         format!("hy-{}-{}", self.token, self.counter)
--- a/crates/hopyoke-core/src/plan/each.rs
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -11,7 +11,7 @@
     /// Arrays and services: each task for itself.
     pub(super) fn place_each(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
         let (Some(mut needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
-        let mut unknown = false;
+        let (mut unknown, mut soon) = (false, false);
         let mut startable = Vec::new();
         for index in job.done.missing(job.spec.tasks).take(self.cfg.window()) {
             match self.check(job, index) {
@@ -42,8 +42,25 @@
                         left -= 1;
                         continue;
                     }
+                    if self.tuning.use_for_backfill
+                        && let Some((bin, image)) = self.borrow_room(&needs, plan)
+                    {
+                        left -= 1;
+                        if let Some(machine) = plan.bins[bin].machine.clone() {
+                            let attempt = self.new_attempt(now);
+                            plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
+                        }
+                        continue;
+                    }
                     match found {
                         Some(bin) => bin,
+                        None if self.tuning.use_for_demand && self.room_soon(&needs, plan, now) => {
+                            // Its room is on its way: it is looked for again then.
+                            plan.refund(&needs, 1);
+                            left -= 1;
+                            soon = true;
+                            continue;
+                        }
                         None => match plan.open_new(&needs, None, left) {
                             Some(bin) => {
                                 candidates.put_first(bin, plan.bins[bin].zone);
@@ -63,10 +80,14 @@
             if plan.bins[bin].ready
                 && let Some(machine) = plan.bins[bin].machine.clone()
             {
-                let attempt = self.new_attempt();
+                let attempt = self.new_attempt(now);
                 plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
             }
         }
-        if unknown { "recovery" } else { "" }
+        match (unknown, soon) {
+            (true, _) => "recovery",
+            (_, true) => "running tasks that end soon",
+            _ => "",
+        }
     }
 }
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/estimates.rs
@@ -0,0 +1,143 @@
+//! What learned run times are used for in a plan. Each use is a setting of its own; none decides
+//! a rule: what may be stopped, charged or placed is settled elsewhere.
+
+use super::TaskKey;
+use super::needs::Needs;
+use super::view::{Plan, Soon};
+use crate::Core;
+use crate::amounts::Amounts;
+use crate::fleet::{Phase, Slot};
+use hopyoke_types::{JobId, Micros};
+use hopyoke_wire::user::{JobKind, Priority};
+
+/// A job in the order of placement: class of importance, priority, acceptance.
+type Keyed = ((u8, Priority, u64), JobId);
+
+impl Core {
+    /// Jobs with a deadline change places among themselves, within one importance, by when they
+    /// must start at the latest. The places that they hold together stay the same.
+    pub(super) fn order_by_latest_start(&self, keyed: &mut [Keyed]) {
+        let mut from = 0;
+        while from < keyed.len() {
+            let importance = (keyed[from].0.0, keyed[from].0.1);
+            let len = keyed[from..].iter().take_while(|k| (k.0.0, k.0.1) == importance).count();
+            let group = &mut keyed[from..from + len];
+            from += len;
+            let mut places = Vec::new();
+            let mut due: Vec<(i64, Keyed)> = Vec::new();
+            for (i, key) in group.iter().enumerate() {
+                let Some(job) = self.jobs.get(&key.1) else { continue };
+                let Some(deadline) = job.spec.deadline_s else { continue };
+                let run = self.expected(&job.spec).distribution.quantile(0.9);
+                let slack = (deadline - run).clamp(-1e9, 1e9);
+                places.push(i);
+                due.push((key.0.2 as i64 + (slack * 1e6) as i64, key.clone()));
+            }
+            due.sort();
+            for (i, (_, key)) in places.into_iter().zip(due) {
+                group[i] = key;
+            }
+        }
+    }
+
+    /// What stopping a task costs, in seconds: what it has run; more, the nearer it is to its end.
+    pub(super) fn work_lost(&self, key: &TaskKey, slot: &Slot, now: Micros) -> f64 {
+        let ran = slot.running_since.map_or(0.0, |t| (now - t).as_secs_f64());
+        if !self.tuning.use_for_victims {
+            return ran;
+        }
+        let left = self.remaining_s(&key.0, key.1, 0.5, now).unwrap_or(ran);
+        ran * (1.0 + ran / (ran + left).max(1e-6))
+    }
+
+    /// Room that is kept for a gang is lent until its last machine is expected to be free.
+    pub(super) fn lend(&self, taken: &[usize], plan: &mut Plan, now: Micros) {
+        let mut complete = 0.0f64;
+        for &i in taken {
+            let Some(m) = plan.bins[i].machine.as_ref().and_then(|id| self.machines.get(id)) else { continue };
+            if m.phase == Phase::Booting {
+                complete = complete.max((m.rented_at + self.boot_time(&m.machine_type) - now).as_secs_f64());
+            }
+            for ((task, attempt), slot) in m.slots().iter().filter(|(_, s)| s.is_live()) {
+                let left = match self.remaining_s(task, *attempt, 0.5, now) {
+                    Some(s) => s,
+                    None => slot.spec.as_ref().map_or(0.0, |s| self.expected(s).distribution.quantile(0.5)),
+                };
+                complete = complete.max(left);
+            }
+        }
+        for &i in taken {
+            let bin = &mut plan.bins[i];
+            if bin.ready && (bin.free.gpus > 0.0 || bin.free.cpus > 0.0) {
+                bin.lent = Some((bin.free, complete));
+                plan.lending.push(i);
+            }
+        }
+    }
+
+    /// A place on lent room for a task that will most likely be over before it is missed; whether
+    /// its image is there.
+    pub(super) fn borrow_room(&self, needs: &Needs, plan: &mut Plan) -> Option<(usize, bool)> {
+        if plan.lending.is_empty() || needs.spec.kind != JobKind::Array || needs.cares_for_zones() {
+            return None;
+        }
+        let run = self.expected(&needs.spec).distribution.quantile(0.9);
+        let found = plan.lending.iter().copied().find_map(|i| {
+            let bin = &plan.bins[i];
+            let (room, until) = bin.lent?;
+            let image = plan.has_image(bin, needs.image);
+            let fetch = self.types[bin.kind].fetch_gb_per_s.max(0.05);
+            let takes = run + if image { 0.0 } else { needs.spec.image_gb / fetch };
+            (needs.task.fits_in(&room) && takes <= until && self.allowed(needs, bin)).then_some((i, image))
+        })?;
+        let bin = &mut plan.bins[found.0];
+        if let Some((room, _)) = &mut bin.lent {
+            *room = *room - needs.task;
+        }
+        bin.latest = Some(needs.image);
+        Some(found)
+    }
+
+    /// Running tasks will most likely have made room for one more task before a machine that is
+    /// rented now has booted; that room is then spoken for.
+    pub(super) fn room_soon(&self, needs: &Needs, plan: &mut Plan, now: Micros) -> bool {
+        if needs.spec.priority == Priority::Production || needs.cares_for_zones() {
+            return false;
+        }
+        if plan.soon.is_none() {
+            let boot = self.types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+            let span = Micros::from_secs_f64(if boot.is_finite() { boot } else { 0.0 });
+            plan.soon = Some(self.soon_free(now, span));
+        }
+        let Some(soon) = &mut plan.soon else { return false };
+        let fits = |s: &&mut Soon| {
+            needs.task.fits_in(&s.room)
+                && needs.kinds[s.kind]
+                && needs.zone.is_none_or(|z| z == s.zone)
+                && (needs.spec.spot || !s.spot)
+        };
+        let Some(found) = soon.iter_mut().find(fits) else { return false };
+        found.room = found.room - needs.task;
+        true
+    }
+
+    fn soon_free(&self, now: Micros, span: Micros) -> Vec<Soon> {
+        let mut soon = Vec::new();
+        for (task, _) in self.learned.learner.ending_within(now, span) {
+            self.looked_at(1);
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let only = (!job.is_gang()).then_some(task.index);
+            for (_, places) in job.places.iter().filter(|(i, _)| only.is_none_or(|o| **i == o)) {
+                for (id, _) in places {
+                    let Some(m) = self.machines.get(id).filter(|m| !m.faulty && !m.slow && !m.deleting) else {
+                        continue;
+                    };
+                    let Some(kind) = self.types.iter().position(|t| t.name == m.machine_type) else { continue };
+                    let room: Amounts = job.task;
+                    soon.push(Soon { kind, zone: self.cfg.zone_index(&m.zone), spot: m.spot, room });
+                }
+            }
+        }
+        soon
+    }
+}
--- a/crates/hopyoke-core/src/plan/gang.rs
+++ b/crates/hopyoke-core/src/plan/gang.rs
@@ -34,13 +34,13 @@
         }
         let Some(bins) = self.choose_all(&needs, plan, count) else {
             plan.refund(&needs, count);
-            self.reserve(&needs, plan, count);
+            self.reserve(&needs, plan, count, now);
             return "machines";
         };
         if !bins.iter().all(|&b| plan.bins[b].ready) {
             return "machines to boot";
         }
-        let attempt = if anew { self.new_attempt() } else { term };
+        let attempt = if anew { self.new_attempt(now) } else { term };
         if anew && let Some(job) = self.jobs.get_mut(id) {
             // Written before any of its tasks is told to start.
             job.term = attempt;
@@ -118,7 +118,7 @@
     /// A gang that finds no room keeps lesser work off the machines that will hold it: without
     /// this, single tasks take every place that falls free, and gangs starve. Machines without
     /// replicas, which stay long, are chosen; the emptiest first, and in one zone if it must be.
-    pub(super) fn reserve(&self, needs: &Needs, plan: &mut Plan, count: u32) {
+    pub(super) fn reserve(&self, needs: &Needs, plan: &mut Plan, count: u32, now: Micros) {
         if plan.reservations >= self.tuning.gang_reservations {
             return;
         }
@@ -151,9 +151,12 @@
         if let Some((room, _, taken)) = best
             && room >= count
         {
+            if self.tuning.use_for_backfill {
+                self.lend(&taken, plan, now);
+            }
             for i in taken {
-                plan.bins[i].free = Amounts::default();
                 plan.bins[i].wanted = true;
+                plan.bins[i].free = Amounts::default();
             }
         }
     }
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -10,6 +10,7 @@
 
 mod consolidate;
 mod each;
+mod estimates;
 mod gang;
 mod needs;
 mod offers;
@@ -102,6 +103,8 @@
             victims: Vec::new(),
             reservations: 0,
             preempt_searches: 0,
+            lending: Vec::new(),
+            soon: None,
         };
         plan.demand = vec![0; plan.offers.len()];
         self.fill_bins(&mut plan, now);
@@ -121,7 +124,7 @@
         self.team(team).is_none_or(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
     }
 
-    fn team(&self, name: &str) -> Option<&Team> {
+    pub(super) fn team(&self, name: &str) -> Option<&Team> {
         self.cfg.teams.iter().find(|t| t.name == name)
     }
 
@@ -180,6 +183,9 @@
             keyed.push(((class, spec.priority, accepted_us), id.clone()));
         }
         keyed.sort_unstable();
+        if self.tuning.use_for_deadlines {
+            self.order_by_latest_start(&mut keyed);
+        }
         for id in settled {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.waits_for = "";
--- a/crates/hopyoke-core/src/plan/preempt.rs
+++ b/crates/hopyoke-core/src/plan/preempt.rs
@@ -46,7 +46,7 @@
                 .filter(|(_, s)| {
                     s.spec.as_ref().is_some_and(|v| v.kind == JobKind::Array && v.priority > needs.spec.priority)
                 })
-                .map(|(k, s)| (s.running_since.map_or(0.0, |t| (now - t).as_secs_f64()), k, s))
+                .map(|(k, s)| (self.work_lost(k, s, now), k, s))
                 .collect();
             candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
             for (ran, key, slot) in candidates {
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -38,6 +38,8 @@
     pub(super) returning: bool,
     /// The plan counts on it.
     pub(super) wanted: bool,
+    /// Room that is kept for a gang, and for how many seconds nobody will miss it.
+    pub(super) lent: Option<(Amounts, f64)>,
 }
 
 /// A kind of machine that the cloud sells, as seen by one plan.
@@ -71,6 +73,19 @@
     pub(super) reservations: usize,
     /// Tasks looked at by the search for room by preemption.
     pub(super) preempt_searches: usize,
+    /// Bins with room that may be lent.
+    pub(super) lending: Vec<usize>,
+    /// Room that running tasks will most likely have made before a machine could boot; `None`: not
+    /// looked up yet.
+    pub(super) soon: Option<Vec<Soon>>,
+}
+
+/// Room that is about to be free.
+pub(super) struct Soon {
+    pub(super) kind: usize,
+    pub(super) zone: usize,
+    pub(super) spot: bool,
+    pub(super) room: Amounts,
 }
 
 /// What of a bin a gang's try changes.
@@ -94,6 +109,7 @@
             failed: false,
             returning: false,
             wanted: false,
+            lent: None,
         }
     }
 
@@ -212,6 +228,7 @@
             if (m.phase == Phase::Up && !fresh)
                 || m.deleting
                 || m.faulty
+                || m.slow
                 || m.notice.is_some()
                 || now < m.cool_until
             {
@@ -238,6 +255,7 @@
                 // Its lease has lapsed, but its zone is cut off and it may be back.
                 returning: m.phase == Phase::Lost,
                 wanted: false,
+                lent: None,
             });
         }
         // Machines that are being rented right now.
--- a/crates/hopyoke-core/src/records.rs
+++ b/crates/hopyoke-core/src/records.rs
@@ -121,6 +121,12 @@
             self.writes.removals_at = now + Micros::from_millis(500);
             self.draft_pages(&mut draft, true);
         }
+        // Learned run times come last, alone, and within their own share: nothing waits for them.
+        if draft.writes.is_empty()
+            && let Some((key, page)) = self.next_learned(now)
+        {
+            draft.push(Write::Learned { key, page }, 1, self.cfg.value_bytes);
+        }
         if draft.writes.is_empty() {
             return None;
         }
@@ -212,6 +218,7 @@
                     }
                 },
                 Write::Page { key, page, .. } => self.page_ended(&key, page.as_ref(), &result),
+                Write::Learned { key, .. } => self.learned_written(key, result.is_ok()),
                 Write::DropPage { key } => {
                     if result.is_err() {
                         self.register.refused(&key);
--- a/crates/hopyoke-core/src/rent.rs
+++ b/crates/hopyoke-core/src/rent.rs
@@ -160,6 +160,7 @@
             self.clear_slots(id);
             self.machines.remove(id);
             self.register.remove(id);
+            self.learned.learner.forget_machine(id);
             self.gone.insert(id.clone(), now);
         }
         self.changed = true;
@@ -236,8 +237,8 @@
                 m.phase == Phase::Booting && now >= m.rented_at + patience(boot) + Micros::from_secs(30);
             let idle = m.idle_since.is_some_and(|t| now >= t + idle_for) && !self.recovering;
             let faulty = m.faulty && !m.has_live();
-            let mut unneeded = idle && !m.has_live();
-            if unneeded && !m.spot && !m.deleting {
+            let mut unneeded = (idle || (m.slow && m.slots().is_empty())) && !m.has_live();
+            if unneeded && !m.spot && !m.deleting && !m.slow {
                 if arriving && idle_ordinary <= self.tuning.keep_ready {
                     unneeded = false;
                 }
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::{Machine, Phase, Slot, SlotState, Stop};
 use super::{Action, Core};
+use hopyoke_runtimes::End;
 use hopyoke_types::Micros;
 use hopyoke_types::{Attempt, JobId, MachineId, TaskId, Token};
 use hopyoke_wire::user::{JobKind, JobSpec};
@@ -151,7 +152,7 @@
             listed.push((task.clone(), t.attempt));
             self.merge_task(id, task, t, now);
         }
-        self.merge_absent(id, &listed, hello, report);
+        self.merge_absent(id, &listed, hello, report, now);
         true
     }
 
@@ -183,10 +184,22 @@
         self.changed |= matches!(state, SlotState::Ended(_));
         match state {
             SlotState::Live(TaskState::Running) => {
+                let first = slot.running_since.is_none();
                 slot.running_since.get_or_insert(now);
                 self.task_runs(id, &key.0, t.attempt);
+                if first {
+                    self.run_began(id, &key.0, t.attempt, known, now);
+                }
+            }
+            SlotState::Ended(why) => {
+                let end = match why {
+                    ExitReason::Done => End::Done,
+                    ExitReason::Stopped | ExitReason::PeersGone => End::Cut,
+                    _ => End::Void,
+                };
+                self.run_ended(id, &key.0, t.attempt, end, now);
+                self.task_ended(id, &key.0, t.attempt, why, now);
             }
-            SlotState::Ended(why) => self.task_ended(id, &key.0, t.attempt, why, now),
             _ => {}
         }
         if !known {
@@ -308,7 +321,14 @@
 
     /// What the report does not list is gone, with one exception: a start that has not been
     /// proven to be unexecuted.
-    fn merge_absent(&mut self, id: &MachineId, listed: &[(TaskId, Attempt)], hello: bool, report: &Report) {
+    fn merge_absent(
+        &mut self,
+        id: &MachineId,
+        listed: &[(TaskId, Attempt)],
+        hello: bool,
+        report: &Report,
+        now: Micros,
+    ) {
         let Some(m) = self.machines.get_mut(id) else { return };
         let now_id = (report.session, report.seq);
         let absent: Vec<(TaskId, Attempt)> = m
@@ -324,7 +344,11 @@
             .map(|(k, _)| k.clone())
             .collect();
         for (task, attempt) in absent {
+            let Some(m) = self.machines.get_mut(id) else { return };
             let was = m.slots_mut().remove(&(task.clone(), attempt));
+            if was.as_ref().is_some_and(|s| s.is_live() && s.running_since.is_some()) {
+                self.run_ended(id, &task, attempt, End::Cut, now);
+            }
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 remove_place(job, &task, id, attempt);
             }
@@ -336,11 +360,16 @@
     pub(super) fn clear_slots(&mut self, id: &MachineId) -> usize {
         let Some(m) = self.machines.get_mut(id) else { return 0 };
         let slots = std::mem::take(m.slots_mut());
+        // For all that we know they ran until it was last heard of.
+        let seen = m.last_seen;
         self.orders_due.remove(id);
         let mut held = 0;
         for ((task, attempt), slot) in slots {
             if slot.is_live() {
                 held += 1;
+                if slot.running_since.is_some() {
+                    self.run_ended(id, &task, attempt, End::Cut, seen);
+                }
             }
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 remove_place(job, &task, id, attempt);
--- a/crates/hopyoke-core/src/tuning.rs
+++ b/crates/hopyoke-core/src/tuning.rs
@@ -34,6 +34,19 @@
     pub gather_least: Micros,
     pub gather: Micros,
     pub gather_most: Micros,
+    /// Run times are learned.
+    pub learn: bool,
+    pub learn_classes: usize,
+    /// A fraction of the state service's write rate.
+    pub learn_write_share: f64,
+    /// Runs after which an old one counts for a third.
+    pub learn_memory: f64,
+    pub use_for_victims: bool,
+    pub use_for_backfill: bool,
+    pub use_for_demand: bool,
+    pub use_for_deadlines: bool,
+    pub use_for_slow_machines: bool,
+    pub slow_factor: f64,
 }
 
 impl Default for Tuning {
@@ -62,6 +75,16 @@
             gather_least: Micros::from_secs(1),
             gather: Micros::from_secs(4),
             gather_most: Micros::from_secs(12),
+            learn: true,
+            learn_classes: 600,
+            learn_write_share: 0.01,
+            learn_memory: 40.0,
+            use_for_victims: false,
+            use_for_backfill: false,
+            use_for_demand: false,
+            use_for_deadlines: false,
+            use_for_slow_machines: false,
+            slow_factor: 1.5,
         }
     }
 }
--- a/crates/hopyoke-runtimes/src/learner.rs
+++ b/crates/hopyoke-runtimes/src/learner.rs
@@ -1,12 +1,12 @@
 //! All that is known, by class, by team and altogether; and the runs under way.
 
-use crate::distribution::{Distribution, GRID};
+use crate::distribution::{Distribution, GRID, P90};
 use crate::machines::{Machines, Slow};
 use crate::model::{Model, band};
 use crate::pages::{Kind, Shelf};
-use hopyoke_types::{Attempt, MachineId, Micros, TaskId};
+use hopyoke_types::{Attempt, JobId, MachineId, Micros, TaskId};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
 /// One run: a task's attempt; of a gang, its first task's stands for all.
@@ -115,6 +115,8 @@
     before: Option<Micros>,
     band: (f32, f32, f32),
     overdue: bool,
+    /// When nine in ten such runs will have ended.
+    ends: Option<Micros>,
 }
 
 impl Running {
@@ -134,6 +136,8 @@
     running: BTreeMap<RunKey, Running>,
     /// When runs will have outlived their bands.
     due: BinaryHeap<Reverse<(Micros, RunKey)>>,
+    /// Runs by when they will most likely have ended.
+    ends: BTreeSet<(Micros, RunKey)>,
     clock: u64,
     pub(crate) shelf: Shelf,
     forgotten: u64,
@@ -167,6 +171,7 @@
             machines: Machines::default(),
             running: BTreeMap::new(),
             due: BinaryHeap::new(),
+            ends: BTreeSet::new(),
             clock: 0,
             shelf: Shelf::default(),
             forgotten: 0,
@@ -231,7 +236,7 @@
         let factor = if machines.is_empty() { 0.0 } else { factor };
         let found = self.estimate(work, None);
         let (p10, p50, p90) = band(&found.distribution);
-        let run = Running {
+        let mut run = Running {
             class: self.name_of(&self.classes, work.class),
             team: self.name_of(&self.teams, work.team),
             estimate: sane(work.estimate_s),
@@ -241,8 +246,9 @@
             before,
             band: (p10 + factor, p50 + factor, p90 + factor),
             overdue: false,
+            ends: None,
         };
-        self.watch(&key, &run, &found.distribution);
+        self.watch(&key, &mut run, &found.distribution);
         self.running.insert(key, run);
     }
 
@@ -251,11 +257,51 @@
     }
 
     /// The run is looked at again when it will have outlived 95 of 100.
-    fn watch(&mut self, key: &RunKey, run: &Running, d: &Distribution) {
+    fn watch(&mut self, key: &RunKey, run: &mut Running, d: &Distribution) {
         let Some(before) = run.before else { return };
-        let late = Micros::from_secs_f64(f64::from((d.0[GRID.len() - 2] + run.factor).exp()));
-        let at = run.since + (late - before).max(Micros(1));
-        self.due.push(Reverse((at, key.clone())));
+        let after = |q: f32| {
+            let whole = Micros::from_secs_f64(f64::from((q + run.factor).exp()));
+            run.since + (whole - before).max(Micros(1))
+        };
+        self.due.push(Reverse((after(d.0[GRID.len() - 2]), key.clone())));
+        if let Some(old) = run.ends.replace(after(d.0[P90])) {
+            self.ends.remove(&(old, key.clone()));
+        }
+        if let Some(ends) = run.ends {
+            self.ends.insert((ends, key.clone()));
+        }
+    }
+
+    /// Runs that will most likely (nine in ten) end within this span, the soonest first.
+    pub fn ending_within(&self, now: Micros, span: Micros) -> impl Iterator<Item = &RunKey> {
+        // Those past that time may take any time.
+        let from = (now, (TaskId { job: JobId::new(""), index: 0 }, Attempt(0)));
+        self.ends.range(from..).take_while(move |(at, _)| *at <= now + span).map(|(_, key)| key)
+    }
+
+    /// Runs whose start nobody saw began when their attempts were commanded, and a class's lead
+    /// later. `day`: time of day less the steady clock; `split`: an attempt's token and how long
+    /// after that token's grant it was commanded. Runs of tokens that nobody remembers stay as
+    /// they are.
+    pub fn date_runs(&mut self, day: Micros, split: &dyn Fn(Attempt) -> (u64, Micros)) {
+        let undated: Vec<RunKey> =
+            self.running.iter().filter(|(_, r)| r.before.is_none()).map(|(k, _)| k.clone()).collect();
+        for key in undated {
+            let (token, after) = split(key.1);
+            let Some(granted) = self.granted_at(token) else { continue };
+            let Some(mut run) = self.running.remove(&key) else { continue };
+            let lead = Micros::from_secs_f64(self.lead_s(&run.class));
+            run.before = Some((day + run.since) - (granted + after + lead));
+            let work = Work { class: &run.class.clone(), team: &run.team.clone(), estimate_s: 0.0 };
+            let d = Model::predict(&self.models(work), run.estimate);
+            self.watch(&key, &mut run, &d);
+            self.running.insert(key, run);
+        }
+    }
+
+    /// The run is under way, as far as is known.
+    pub fn runs(&self, key: &RunKey) -> bool {
+        self.running.contains_key(key)
     }
 
     /// When [`Learner::tick`] has something to look at.
@@ -305,7 +351,7 @@
                 let models = self.models(work);
                 let d = Model::predict(&models, run.estimate);
                 run.overdue = false;
-                self.watch(&key, &run, &d);
+                self.watch(&key, &mut run, &d);
                 self.running.insert(key, run);
             }
             changed.push(class);
@@ -321,6 +367,9 @@
     /// A run is over. Returns its length in seconds if that is known and it completed.
     pub fn ended(&mut self, key: &RunKey, end: End, now: Micros) -> Option<f64> {
         let run = self.running.remove(key)?;
+        if let Some(at) = run.ends {
+            self.ends.remove(&(at, key.clone()));
+        }
         let seconds = run.ran(now)?;
         let whole = sane(seconds)?;
         match end {
--- a/crates/hopyoke-runtimes/src/pages.rs
+++ b/crates/hopyoke-runtimes/src/pages.rs
@@ -152,7 +152,7 @@
             let entry = Entry::new(model, 0, Some(key.0));
             let fresh = match kind {
                 Kind::All => {
-                    let fresh = self.all.model.runs == 0;
+                    let fresh = self.all.model.runs <= entry.model.runs;
                     if fresh {
                         self.all = entry;
                     }
@@ -161,9 +161,11 @@
                 Kind::Class | Kind::Team => {
                     let entries = if *kind == Kind::Class { &mut self.classes } else { &mut self.teams };
                     let name: Rc<str> = Rc::from(name.as_str());
-                    let fresh = !entries.contains_key(&name);
-                    if fresh {
-                        entries.insert(name, entry);
+                    // A few runs that we have seen since do not outweigh all that was known.
+                    let known = entries.get(&name).map_or(0, |e| e.model.runs);
+                    let fresh = known <= entry.model.runs;
+                    if fresh && let Some(old) = entries.insert(name, entry) {
+                        self.shelf.leave(old.page);
                     }
                     fresh
                 }
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -151,9 +151,11 @@
         self.send(Host::Node(i), Host::State, move |w| {
             let mut jobs = Vec::new();
             let mut register = Vec::new();
+            let mut learned = Vec::new();
             for (key, e) in &w.store.keys {
                 match (&e.value, key.split_once('/')) {
                     (Value::Job(r), Some((_, id))) => jobs.push((JobId::new(id), r.clone(), Mark(e.mark))),
+                    (Value::Learned(p), Some((_, k))) => learned.push((k.to_owned(), p.clone())),
                     (Value::Page(p), Some((_, k))) => register.push((k.to_owned(), Mark(e.mark), Some(p.clone()))),
                     _ => {}
                 }
@@ -166,6 +168,11 @@
                 w.log(|| format!("node {i} leads with token {token}"));
                 w.leaders += 1;
                 let mut core = Core::new(w.cfg.clone(), Token(token), jobs, register, at);
+                core.set_tuning(w.tuning.clone());
+                core.set_time_of_day(w.now, w.now);
+                for (key, page) in &learned {
+                    core.learned(key, Some(page));
+                }
                 core.set_catalog(w.types.clone());
                 let mut right = Entitlement::new(until, w.ttl, WATCH, w.nodes.len());
                 right.heard(at);
@@ -473,6 +480,9 @@
                         None => Change::Drop(format!("fleet/{key}")),
                     });
                 }
+                Write::Learned { key, page } => {
+                    apply.push(Change::Put(format!("learn/{key}"), Value::Learned(page.clone()), None));
+                }
                 Write::DropPage { key } => apply.push(Change::Drop(format!("fleet/{key}"))),
             }
         }
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod store;
 pub mod worker;
 
-use hopyoke_core::{Config, Team};
+use hopyoke_core::{Config, Team, Tuning};
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, MachineId};
 use hopyoke_wire::cloud::MachineType;
@@ -83,6 +83,7 @@
     next: u64,
     pub rng: StdRng,
     pub cfg: Config,
+    pub tuning: Tuning,
     pub ttl: Micros,
     pub cancel_s: Micros,
     pub types: Vec<MachineType>,
@@ -127,6 +128,7 @@
                 write_rps: 25.0,
                 margin: Micros::from_millis(500),
             },
+            tuning: Tuning::default(),
             ttl: Micros::from_secs(5),
             cancel_s: Micros::from_secs(34),
             types: Vec::new(),
--- a/crates/hopyoke-world/src/store.rs
+++ b/crates/hopyoke-world/src/store.rs
@@ -10,6 +10,7 @@
     Job(JobRecord),
     End(EndRecord),
     Page(RegisterPage),
+    Learned(hopyoke_runtimes::Page),
     Holder(usize),
 }
 
@@ -58,6 +59,10 @@
                         let size = serde_json::to_vec(page).map_or(0, |v| v.len());
                         assert!(size <= 8192, "a page of {size} bytes was written");
                     }
+                    if let Value::Learned(page) = &value {
+                        let size = serde_json::to_vec(page).map_or(0, |v| v.len());
+                        assert!(size <= 8192, "a page of learned run times of {size} bytes was written");
+                    }
                     self.log.push((mark, key.clone(), false));
                     self.keys.insert(key, Entry { value, mark, lease });
                 }
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -2,7 +2,9 @@
 //! blocks to itself, takes over the records, and runs the core.
 
 use crate::node::{Leading, Node};
-use crate::state::{FLEET, JOBS, LEADER, StateError, TxnEnd, block_key, end_key, fleet_key, job_key};
+use crate::state::{
+    FLEET, JOBS, LEADER, LEARNED, StateError, TxnEnd, block_key, end_key, fleet_key, job_key, learned_key,
+};
 use crate::tuning;
 use crate::workers::Direct;
 use hopyoke_core::entitlement::Entitlement;
@@ -170,6 +172,7 @@
     runtime::spawn_until(cancel.clone(), write_records(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), list_machines(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), act(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), read_learned(node.clone(), leading.clone()));
     if node.policy.is_live() {
         runtime::spawn_until(cancel.clone(), follow_figures(node.clone(), leading.clone()));
     }
@@ -243,7 +246,8 @@
         .collect();
     let jobs = jobs.into_iter().filter_map(job_of).collect();
     let mut core = Core::new(node.config.clone(), token, jobs, register, granted_at);
-    core.tuning = tuning::tuning_of(&node.policy.evaluate(&Figures::default()));
+    core.set_tuning(tuning::tuning_of(&node.policy.evaluate(&Figures::default())));
+    core.set_time_of_day(runtime::now(), runtime::time_of_day());
     core.set_catalog(node.catalog.borrow().clone());
     Some((core, revision))
 }
@@ -379,6 +383,7 @@
     Job(&'a JobRecord),
     End(&'a hopyoke_core::EndRecord),
     Page(&'a RegisterPage),
+    Learned(&'a hopyoke_runtimes::Page),
 }
 
 /// Every write is conditional on our grant, so that late ones of old holders fail.
@@ -403,6 +408,9 @@
                     None => Change::Drop { key: fleet_key(key) },
                 });
             }
+            Write::Learned { key, page } => {
+                changes.push(Change::Put { key: learned_key(*key), value: Value::Learned(page), lease: None });
+            }
             Write::DropPage { key } => changes.push(Change::Drop { key: fleet_key(key) }),
         }
     }
@@ -435,6 +443,20 @@
     }
 }
 
+/// Reads what earlier leaders have learned of run times. Nothing waits for it.
+async fn read_learned(node: Rc<Node>, leading: Rc<Leading>) {
+    if !leading.core.borrow().tuning.learn {
+        return;
+    }
+    let Some((pages, _)) = retry(|| node.state.list::<hopyoke_runtimes::Page>(LEARNED)).await else { return };
+    let mut core = leading.core.borrow_mut();
+    for pair in pages {
+        if let Some(key) = pair.key.strip_prefix(LEARNED) {
+            core.learned(key, pair.value.readable().as_ref());
+        }
+    }
+}
+
 /// Settings that depend on live figures follow them.
 async fn follow_figures(node: Rc<Node>, leading: Rc<Leading>) {
     loop {
--- a/crates/hopyoke/src/state.rs
+++ b/crates/hopyoke/src/state.rs
@@ -7,9 +7,11 @@
 //! | `job/ID` | an unfinished job |
 //! | `end/ID` | a finished job, for good |
 //! | `fleet/ID` | a machine that tasks may be on |
+//! | `learn/N` | learned run times; nothing depends on them |
 
 use hopyoke_runtime as runtime;
 use hopyoke_runtime::http::{Client, ClientError, Method, Response};
+use hopyoke_runtimes::PageKey;
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, Mark};
 use hopyoke_wire::state::{Applied, Change, Condition, Events, Failed, Grant, Granted, Page, Pair, Stored, Txn};
@@ -23,6 +25,7 @@
 pub const LEADER: &str = "leader";
 pub const JOBS: &str = "job/";
 pub const FLEET: &str = "fleet/";
+pub const LEARNED: &str = "learn/";
 
 pub fn job_key(id: &JobId) -> String {
     format!("{JOBS}{id}")
@@ -36,6 +39,10 @@
     format!("{FLEET}{page}")
 }
 
+pub fn learned_key(page: PageKey) -> String {
+    format!("{LEARNED}{page}")
+}
+
 pub fn block_key(zone: &str) -> String {
     format!("block/{zone}")
 }
--- a/crates/hopyoke/src/tuning.rs
+++ b/crates/hopyoke/src/tuning.rs
@@ -33,6 +33,16 @@
         gather_least: v.duration("gather_least"),
         gather: v.duration("gather"),
         gather_most: v.duration("gather_most"),
+        learn: v.boolean("learn"),
+        learn_classes: v.count("learn_classes"),
+        learn_write_share: v.share("learn_write_share"),
+        learn_memory: v.number("learn_memory"),
+        use_for_victims: v.boolean("use_for_victims"),
+        use_for_backfill: v.boolean("use_for_backfill"),
+        use_for_demand: v.boolean("use_for_demand"),
+        use_for_deadlines: v.boolean("use_for_deadlines"),
+        use_for_slow_machines: v.boolean("use_for_slow_machines"),
+        slow_factor: v.number("slow_factor"),
     }
 }
 
@@ -60,7 +70,7 @@
     let tuning = tuning_of(&values);
     if tuning != core.tuning {
         info!(?tuning, "settings follow the live figures");
-        core.tuning = tuning;
+        core.set_tuning(tuning);
     }
 }
 
