--- a/crates/hopyoke-core/src/learn.rs
+++ b/crates/hopyoke-core/src/learn.rs
@@ -117,6 +117,13 @@
         self.tuning = tuning;
     }
 
+    /// A task has been told to start.
+    pub(super) fn run_commanded(&mut self, task: &TaskId, attempt: Attempt, now: Micros) {
+        let Some(job) = self.jobs.get(&task.job).filter(|j| j.spec.kind == JobKind::Array) else { return };
+        let spec = job.spec.clone();
+        self.learned.learner.commanded((task.clone(), attempt), work_of(&spec), now);
+    }
+
     /// A task was seen running for the first time; `seen`: we saw it before it ran.
     pub(super) fn run_began(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, seen: bool, now: Micros) {
         let Some(job) = self.jobs.get(&task.job).filter(|_| self.tuning.learn) else { return };
--- a/crates/hopyoke-core/src/plan/estimates.rs
+++ b/crates/hopyoke-core/src/plan/estimates.rs
@@ -107,7 +107,7 @@
         if plan.soon.is_none() {
             let boot = self.types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
             let span = Micros::from_secs_f64(if boot.is_finite() { boot } else { 0.0 });
-            plan.soon = Some(self.soon_free(now, span));
+            plan.soon = Some(self.soon_free(plan, now, span));
         }
         let Some(soon) = &mut plan.soon else { return false };
         let fits = |s: &&mut Soon| {
@@ -121,8 +121,18 @@
         true
     }
 
-    fn soon_free(&self, now: Micros, span: Micros) -> Vec<Soon> {
+    fn soon_free(&self, plan: &Plan, now: Micros, span: Micros) -> Vec<Soon> {
         let mut soon = Vec::new();
+        // What this plan starts itself may end in time, too.
+        for start in &plan.starts {
+            let Some(job) = self.jobs.get(&start.job).filter(|j| j.spec.kind == JobKind::Array) else { continue };
+            let lead = self.learned.learner.lead_s(&job.spec.class);
+            let Some(m) = self.machines.get(&start.machine) else { continue };
+            let Some(kind) = self.types.iter().position(|t| t.name == m.machine_type) else { continue };
+            if lead + self.expected(&job.spec).distribution.quantile(0.9) <= span.as_secs_f64() {
+                soon.push(Soon { kind, zone: self.cfg.zone_index(&m.zone), spot: m.spot, room: job.task });
+            }
+        }
         for (task, _) in self.learned.learner.ending_within(now, span) {
             self.looked_at(1);
             let Some(job) = self.jobs.get(&task.job) else { continue };
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -211,6 +211,9 @@
         let slot = Slot::new(SlotState::Sent, Some(spec), now);
         m.slots_mut().insert((task.clone(), s.attempt), slot);
         m.idle_since = None;
+        if self.tuning.use_for_demand {
+            self.run_commanded(&task, s.attempt, now);
+        }
         self.orders_due.insert(s.machine.clone());
         self.place_add(&s.machine, &task, s.attempt);
     }
--- a/crates/hopyoke-runtimes/src/learner.rs
+++ b/crates/hopyoke-runtimes/src/learner.rs
@@ -138,6 +138,8 @@
     due: BinaryHeap<Reverse<(Micros, RunKey)>>,
     /// Runs by when they will most likely have ended.
     ends: BTreeSet<(Micros, RunKey)>,
+    /// Those of them that were commanded, but have not been seen running.
+    commanded: BTreeMap<RunKey, Micros>,
     clock: u64,
     pub(crate) shelf: Shelf,
     forgotten: u64,
@@ -172,6 +174,7 @@
             running: BTreeMap::new(),
             due: BinaryHeap::new(),
             ends: BTreeSet::new(),
+            commanded: BTreeMap::new(),
             clock: 0,
             shelf: Shelf::default(),
             forgotten: 0,
@@ -219,6 +222,22 @@
         }
     }
 
+    /// A run was commanded: by when it will most likely have ended.
+    pub fn commanded(&mut self, key: RunKey, work: Work<'_>, now: Micros) {
+        let p90 = self.estimate(work, None).distribution.quantile(0.9);
+        let at = now + Micros::from_secs_f64(p90 + self.lead_s(work.class));
+        if let Some(old) = self.commanded.insert(key.clone(), at) {
+            self.ends.remove(&(old, key.clone()));
+        }
+        self.ends.insert((at, key));
+    }
+
+    fn no_longer_commanded(&mut self, key: &RunKey) {
+        if let Some(at) = self.commanded.remove(key) {
+            self.ends.remove(&(at, key.clone()));
+        }
+    }
+
     /// A run began at `since`, or had by then run for `before`; `None`: nobody knows for how long.
     /// Known already, nothing changes.
     pub fn started(
@@ -232,6 +251,7 @@
         if self.running.contains_key(&key) {
             return;
         }
+        self.no_longer_commanded(&key);
         let factor = machines.iter().map(|m| self.machines.factor(m)).fold(f32::MIN, f32::max);
         let factor = if machines.is_empty() { 0.0 } else { factor };
         let found = self.estimate(work, None);
@@ -312,6 +332,12 @@
     /// Looks at runs that have outlived their bands: many of a class mean that it has changed, and
     /// what is left of all its runs is more than was thought. Returns classes found changed.
     pub fn tick(&mut self, now: Micros) -> Vec<Rc<str>> {
+        // What was commanded and never came to run is forgotten in time.
+        while let Some((at, key)) = self.ends.first().filter(|(at, _)| now > *at + Micros::from_secs(60)).cloned()
+        {
+            self.ends.remove(&(at, key.clone()));
+            self.commanded.remove(&key);
+        }
         let mut changed = Vec::new();
         while let Some(Reverse((at, _))) = self.due.peek() {
             if *at > now {
@@ -366,6 +392,7 @@
 
     /// A run is over. Returns its length in seconds if that is known and it completed.
     pub fn ended(&mut self, key: &RunKey, end: End, now: Micros) -> Option<f64> {
+        self.no_longer_commanded(key);
         let run = self.running.remove(key)?;
         if let Some(at) = run.ends {
             self.ends.remove(&(at, key.clone()));
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -290,7 +290,7 @@
             return;
         }
         let news: Vec<(u64, String, bool)> =
-            self.store.log.iter().filter(|(r, k, _)| *r > since && k.starts_with("job/")).cloned().collect();
+            self.store.since(since).iter().filter(|(_, k, _)| k.starts_with("job/")).cloned().collect();
         let over = self.now >= sent + WATCH;
         if (news.is_empty() && !over) || self.state_down() {
             let wait = Micros::from_millis(20);
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -15,7 +15,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 
 pub type Step = Box<dyn FnOnce(&mut World)>;
@@ -105,6 +105,9 @@
     pub report_looks: u64,
     pub tick_looks: u64,
     next_check: Micros,
+    checks: u64,
+    /// Jobs that were found over, and well.
+    settled: BTreeSet<JobId>,
     pub trace: bool,
 }
 
@@ -147,6 +150,8 @@
             report_looks: 0,
             tick_looks: 0,
             next_check: Micros::ZERO,
+            checks: 0,
+            settled: BTreeSet::new(),
             trace: std::env::var_os("SIM_TRACE").is_some(),
         }
     }
--- a/crates/hopyoke-world/src/store.rs
+++ b/crates/hopyoke-world/src/store.rs
@@ -76,6 +76,11 @@
         Ok(mark)
     }
 
+    /// What changed after a revision.
+    pub fn since(&self, revision: u64) -> &[(u64, String, bool)] {
+        &self.log[self.log.partition_point(|(r, ..)| *r <= revision)..]
+    }
+
     pub fn grant(&mut self, until: Micros) -> u64 {
         self.next_lease += 1;
         self.leases.insert(self.next_lease, until);
--- a/crates/hopyoke-world/src/worker.rs
+++ b/crates/hopyoke-world/src/worker.rs
@@ -28,6 +28,8 @@
     pub rented_at: Micros,
     pub hung_until: Micros,
     pub sick: bool,
+    /// How many times as long tasks take here.
+    pub slowness: f64,
     pub session: u64,
     pub seq: u64,
     pub token: Token,
@@ -55,6 +57,7 @@
             rented_at: now,
             hung_until: Micros::ZERO,
             sick: false,
+            slowness: 1.0,
             session: 1,
             seq: 0,
             token: Token(0),
@@ -281,8 +284,10 @@
         let Some(task) = TaskId::parse(task) else { return };
         let spec = self.jobs.get(&task.job).map(|j| j.spec.clone());
         let types = self.types.clone();
+        let Some(m) = self.machines.get(id) else { return };
+        let here = m.tasks.keys().filter_map(|(t, _)| Some((t.job.clone(), &self.jobs.get(&t.job)?.spec)));
         let jobs: BTreeMap<JobId, (f64, f64, f64)> =
-            self.jobs.iter().map(|(k, j)| (k.clone(), (j.spec.cpus, j.spec.gpus, j.spec.memory_gb))).collect();
+            here.map(|(k, s)| (k, (s.cpus, s.gpus, s.memory_gb))).collect();
         let Some(m) = self.machines.get_mut(id) else { return };
         let key = (task.clone(), attempt);
         if m.tasks.contains_key(&key) {
@@ -383,6 +388,12 @@
             return;
         }
         let left = job.run - job.saved;
+        let gang = job.spec.kind == JobKind::Gang;
+        // A gang runs at its slowest.
+        let on = if gang { self.members(&key.0.job, key.1) } else { vec![(id.clone(), key.0.clone())] };
+        let slowest = on.iter().filter_map(|(m, _)| Some(self.machines.get(m)?.slowness)).fold(1.0, f64::max);
+        let slowest = if gang { slowest } else { self.machines.get(id).map_or(1.0, |m| m.slowness) };
+        let left = Micros((left.0 as f64 * slowest) as u64);
         let (me, k) = (id.clone(), key.clone());
         self.after(left, move |w| w.complete(&me, session, &k));
     }
