hopyoke when, history and lab replay; runs that end between leaders are learned

Need: the booking desk asks when capacity frees up; evidence must come from a command.

Runs found completed after a takeover are dated; what speaks for a change outlives a leader.

--- a/crates/hopyoke-core/src/learn.rs
+++ b/crates/hopyoke-core/src/learn.rs
@@ -16,6 +16,12 @@
 const COUNTER_BITS: u32 = 28;
 /// One step of the counter is at least this long, while starts are fewer.
 const TICK: Micros = Micros::from_millis(100);
+/// Between two leaders nobody leads for about this long.
+const GAP: Micros = Micros::from_secs(5);
+/// What is found completed this long after a takeover ended who knows when.
+const FOUND_WITHIN: Micros = Micros::from_secs(20);
+/// Such runs that wait to be dated.
+const MOST_FOUND: usize = 512;
 /// Runs of the past that are kept for `hopyoke history`.
 const MOST_HISTORY: usize = 2048;
 
@@ -45,6 +51,8 @@
     /// Writes that learned run times may make, earned up to a time.
     budget: f64,
     earned: Micros,
+    /// Runs that were found completed after a takeover, until they can be dated.
+    found: Vec<(TaskId, Attempt, Micros)>,
     /// When slow machines are looked for again.
     next_look: Micros,
 }
@@ -108,6 +116,12 @@
         let Some(day) = self.learned.day else { return };
         let split = |a: Attempt| (a.0 >> COUNTER_BITS, TICK.times(a.0 & ((1 << COUNTER_BITS) - 1)));
         self.learned.learner.date_runs(Micros(day), &split);
+        let Learned { learner, found, .. } = &mut self.learned;
+        found.retain(|(task, attempt, about)| {
+            let Some(job) = self.jobs.get(&task.job) else { return false };
+            let key = (task.clone(), *attempt);
+            !learner.found_ended(&key, work_of(&job.spec), *about, Micros(day), &split)
+        });
     }
 
     /// The tuning has changed.
@@ -124,6 +138,28 @@
         self.learned.learner.commanded((task.clone(), attempt), work_of(&spec), now);
     }
 
+    /// A task that we had not seen before was reported as completed: it ended between two leaders,
+    /// most likely; that is when nobody led, or just before, or since.
+    pub(super) fn run_found_ended(&mut self, task: &TaskId, attempt: Attempt, now: Micros) {
+        let Some(job) = self.jobs.get(&task.job).filter(|_| self.tuning.learn) else { return };
+        // What ran long ago, or resumed, says nothing; of a gang one report is enough.
+        let key = TaskId { job: task.job.clone(), index: if job.is_gang() { 0 } else { task.index } };
+        let seen = self.learned.found.iter().any(|(t, a, _)| *t == key && *a == attempt);
+        if job.resumed
+            || job.spec.kind == JobKind::Service
+            || (job.is_gang() && job.is_done())
+            || seen
+            || self.learned.found.len() >= MOST_FOUND
+            || now > self.started + FOUND_WITHIN
+        {
+            return;
+        }
+        let from = self.started - GAP;
+        let about = from + Micros((now - from).0 / 2);
+        self.learned.found.push((key, attempt, about));
+        self.date_runs();
+    }
+
     /// A task was seen running for the first time; `seen`: we saw it before it ran.
     pub(super) fn run_began(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, seen: bool, now: Micros) {
         let Some(job) = self.jobs.get(&task.job).filter(|_| self.tuning.learn) else { return };
@@ -236,7 +272,7 @@
         if l.budget < 1.0 || !self.tuning.learn {
             return None;
         }
-        let page = l.learner.next_page(now, Micros::from_secs(10))?;
+        let page = l.learner.next_page(now, Micros::from_secs(5))?;
         l.budget -= 1.0;
         Some(page)
     }
@@ -245,6 +281,16 @@
         self.learned.learner.page_ended(key, written);
     }
 
+    /// Runs under way, classes remembered, machines known, classes forgotten so far.
+    pub fn learned_counts(&self) -> (usize, usize, usize, u64) {
+        self.learned.learner.counts()
+    }
+
+    /// Machines that are credibly far slower than their peers.
+    pub fn slow_machines(&self) -> Vec<hopyoke_runtimes::Slow> {
+        self.learned.learner.all_slow(self.tuning.slow_factor)
+    }
+
     /// What a task of this job is expected to take once it runs.
     pub fn expected(&self, spec: &JobSpec) -> Estimate {
         self.learned.learner.estimate(work_of(spec), None)
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -197,6 +197,9 @@
                     ExitReason::Stopped | ExitReason::PeersGone => End::Cut,
                     _ => End::Void,
                 };
+                if !known && end == End::Done {
+                    self.run_found_ended(&key.0, t.attempt, now);
+                }
                 self.run_ended(id, &key.0, t.attempt, end, now);
                 self.task_ended(id, &key.0, t.attempt, why, now);
             }
--- /dev/null
+++ b/crates/hopyoke-lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! Experiments on the emulator.
+//!
+//! - [`generate`]: traces from a seeded generator, named as such.
+//! - [`replay`]: a history against stand-in workers in virtual time, with the real core.
+//! - [`figures`]: what came out, in numbers.
+//! - [`report`]: the same as a self-contained HTML page with plots.
+
+pub mod figures;
+pub mod generate;
+pub mod replay;
+pub mod report;
--- a/crates/hopyoke-runtimes/src/learner.rs
+++ b/crates/hopyoke-runtimes/src/learner.rs
@@ -78,15 +78,13 @@
     used: u64,
     /// The page on which it is written.
     pub page: Option<u16>,
-    /// Runs that outlive their band, against those that do not (Page's test).
-    overdue: f32,
     /// The mean deviation of late, fading: what is common to all machines.
     drift: f32,
 }
 
 impl Entry {
     pub fn new(model: Model, used: u64, page: Option<u16>) -> Entry {
-        Entry { model, used, page, overdue: 0.0, drift: 0.0 }
+        Entry { model, used, page, drift: 0.0 }
     }
 
     /// Takes up a run that completed after `whole`, of which `x` is not its machine's doing.
@@ -97,7 +95,7 @@
         }
         self.model.calibrate(whole, run.band.0, run.band.2);
         if !run.overdue {
-            self.overdue = (self.overdue - WITHIN).max(0.0);
+            self.model.overdue = (self.model.overdue - WITHIN).max(0.0);
         }
     }
 }
@@ -347,11 +345,14 @@
             let Some(run) = self.running.get_mut(&key) else { continue };
             run.overdue = true;
             let Some(entry) = self.classes.get_mut(&run.class) else { continue };
-            entry.overdue += 1.0;
-            if entry.overdue < OVERDUE_ALARM || entry.model.level.weight() < 4.0 {
+            entry.model.overdue += 1.0;
+            // The first ends after a change are those of its short runs: they and the long runs that
+            // outlive their bands speak together.
+            let together = entry.model.overdue / OVERDUE_ALARM + entry.model.level.rising();
+            if together < 1.0 || entry.model.overdue < 2.0 || entry.model.level.weight() < 4.0 {
                 continue;
             }
-            entry.overdue = 0.0;
+            entry.model.overdue = 0.0;
             // The median of those that are overdue now lies at least where they are.
             let class = run.class.clone();
             let late = self.running.values().filter(|r| r.class == class && r.overdue);
@@ -407,6 +408,40 @@
         (end == End::Done).then_some(seconds)
     }
 
+    /// A run that nobody saw end, or perhaps start, was found completed: it ended at about this
+    /// time. (Were such runs left aside, those of just the length from a takeover's burst of starts
+    /// to the next gap between leaders would always be missing.) Returns whether it could be dated.
+    pub fn found_ended(
+        &mut self,
+        key: &RunKey,
+        work: Work<'_>,
+        about: Micros,
+        day: Micros,
+        split: &dyn Fn(Attempt) -> (u64, Micros),
+    ) -> bool {
+        let (token, after) = split(key.1);
+        let Some(granted) = self.granted_at(token) else { return false };
+        let lead = Micros::from_secs_f64(self.lead_s(work.class));
+        let ran = ((day + about) - (granted + after + lead)).as_secs_f64();
+        if let Some(whole) = sane(ran.max(0.5)) {
+            let d = self.estimate(work, None).distribution;
+            let run = Running {
+                class: self.name_of(&self.classes, work.class),
+                team: self.name_of(&self.teams, work.team),
+                estimate: sane(work.estimate_s),
+                machines: Vec::new(),
+                factor: 0.0,
+                since: about,
+                before: None,
+                band: band(&d),
+                overdue: false,
+                ends: None,
+            };
+            self.done(&run, whole);
+        }
+        true
+    }
+
     fn cut(&mut self, run: &Running, whole: f32) {
         let (x, memory) = (whole - run.factor, self.limits.memory);
         // Only a class that is known: a run that was cut short says nothing about a level.
--- a/crates/hopyoke-runtimes/src/model.rs
+++ b/crates/hopyoke-runtimes/src/model.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 /// How fast the band's sides follow misses; after Gibbs and Candès, adaptive conformal inference.
-const FOLLOW: f32 = 0.06;
+const FOLLOW: f32 = 0.05;
+/// At first they follow faster, by this much, fading over some twenty runs.
+const FOLLOW_FIRST: f32 = 0.15;
 /// A class with fewer runs than this leans on its team, and that on all work.
 const LEAN: f32 = 3.0;
 /// The width of its band leans longer: the median is known sooner than the tails.
@@ -25,6 +27,8 @@
     /// Seconds from a start command until it ran: the image's fetch, most of it.
     pub lead_s: f32,
     pub runs: u32,
+    /// Runs that outlive their band, against those that do not (Page's test).
+    pub overdue: f32,
 }
 
 /// A model as it is written.
@@ -37,11 +41,22 @@
     /// Widths and lead in hundredths, and the number of runs.
     #[serde(rename = "w")]
     numbers: (u32, u32, u32, u32),
+    /// Runs that outlived their band, in hundredths.
+    #[serde(rename = "o", default)]
+    overdue: u32,
 }
 
 impl Default for Model {
     fn default() -> Model {
-        Model { level: View::default(), ratio: View::default(), low: 1.15, high: 1.15, lead_s: 0.0, runs: 0 }
+        Model {
+            level: View::default(),
+            ratio: View::default(),
+            low: 1.0,
+            high: 1.0,
+            lead_s: 0.0,
+            runs: 0,
+            overdue: 0.0,
+        }
     }
 }
 
@@ -83,7 +98,8 @@
 
     /// A band that was told has been hit or missed: its sides follow.
     pub fn calibrate(&mut self, x: f32, p10: f32, p90: f32) {
-        let step = |miss: bool| FOLLOW * if miss { 0.9 } else { -0.1 };
+        let follow = FOLLOW + FOLLOW_FIRST * (-(self.runs as f32) / 20.0).exp();
+        let step = |miss: bool| follow * if miss { 0.9 } else { -0.1 };
         self.low = (self.low * step(x < p10).exp()).clamp(0.2, 6.0);
         self.high = (self.high * step(x > p90).exp()).clamp(0.2, 6.0);
     }
@@ -155,7 +171,7 @@
             for (k, n) in next.iter_mut().enumerate() {
                 let of_own = own[k] - own[MEDIAN];
                 let side = if GRID[k] < 0.5 { model.low } else { model.high };
-                *n = median + share * of_own * side + (1.0 - share) * (out[k] - out[MEDIAN]);
+                *n = median + side * (share * of_own + (1.0 - share) * (out[k] - out[MEDIAN]));
             }
             out = next;
         }
@@ -171,6 +187,7 @@
             level: self.level.save(),
             ratio: self.ratio.save(),
             numbers: (hundredths(self.low), hundredths(self.high), hundredths(self.lead_s), self.runs),
+            overdue: hundredths(self.overdue),
         }
     }
 
@@ -184,6 +201,7 @@
             high: width(high),
             lead_s: (lead as f32 / 100.0).min(3600.0),
             runs,
+            overdue: (saved.overdue as f32 / 100.0).min(100.0),
         })
     }
 }
--- a/crates/hopyoke-runtimes/src/view.rs
+++ b/crates/hopyoke-runtimes/src/view.rs
@@ -60,6 +60,10 @@
     q: Saved,
     /// Loss in thousandths.
     l: u32,
+    /// Where the tests for change stand, upwards and downwards: a leader that leads for less time
+    /// than a change takes to show must hand on what speaks for it.
+    #[serde(default)]
+    c: [(i32, i32, u16); 2],
 }
 
 impl Default for View {
@@ -131,6 +135,11 @@
         self.refresh_some();
     }
 
+    /// How much speaks for longer runs, in parts of an alarm.
+    pub fn rising(&self) -> f32 {
+        self.up.height / ALARM
+    }
+
     /// Everything takes `exp(by)` times as long from now on.
     pub fn move_by(&mut self, by: f32) {
         self.sketch.shift(by, AFTER_CHANGE);
@@ -157,12 +166,22 @@
     }
 
     pub fn save(&self) -> SavedView {
-        SavedView { q: self.sketch.save(), l: (self.loss * 1000.0).round().clamp(0.0, 1e6) as u32 }
+        let hundredths = |x: f32| (x * 100.0).round().clamp(-1e6, 1e6) as i32;
+        SavedView {
+            q: self.sketch.save(),
+            l: (self.loss * 1000.0).round().clamp(0.0, 1e6) as u32,
+            c: [&self.up, &self.down].map(|c| (hundredths(c.height), hundredths(c.sum), c.count)),
+        }
     }
 
     pub fn load(saved: &SavedView) -> Option<View> {
         let sketch = Sketch::load(&saved.q)?;
-        let mut view = View { loss: (saved.l as f32 / 1000.0).min(10.0), sketch, ..View::default() };
+        let [up, down] = saved.c.map(|(height, sum, count)| Cusum {
+            height: (height as f32 / 100.0).clamp(0.0, ALARM),
+            sum: (sum as f32 / 100.0).clamp(-100.0, 100.0),
+            count,
+        });
+        let mut view = View { loss: (saved.l as f32 / 1000.0).min(10.0), sketch, up, down, ..View::default() };
         view.refresh();
         Some(view)
     }
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -1,7 +1,7 @@
 //! Controllers: the real core, with leadership and messages as `lead` does them.
 
 use super::store::{Change, Value};
-use super::{Host, LARGE, World};
+use super::{Host, World};
 use hopyoke_core::entitlement::{Entitlement, PROMISE};
 use hopyoke_core::{Action, Batch, BatchError, Core, EndRecord, JobRecord, RentOutcome, Write};
 use hopyoke_types::Micros;
@@ -336,14 +336,14 @@
             return;
         }
         let now = self.now;
+        let thorough = self.looks_closely();
         let Some(lead) = self.lead(i, process) else { return };
         let looks = lead.core.looks();
         lead.core.tick(now);
         let looks = lead.core.looks() - looks;
         let recovered = if lead.core.recovering() { None } else { lead.recovers_since.take() };
         // Auditing a whole fleet at every event would take minutes.
-        let large = lead.core.machines.len() > LARGE;
-        let faults = if large && now < lead.next_audit { Vec::new() } else { lead.core.audit() };
+        let faults = if !thorough && now < lead.next_audit { Vec::new() } else { lead.core.audit() };
         if now >= lead.next_audit {
             lead.next_audit = now + Micros::from_secs(1);
         }
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -109,6 +109,8 @@
     /// Jobs that were found over, and well.
     settled: BTreeSet<JobId>,
     pub trace: bool,
+    /// The whole world is checked at each step, unless there are too many machines.
+    pub thorough: bool,
 }
 
 impl World {
@@ -152,10 +154,15 @@
             next_check: Micros::ZERO,
             checks: 0,
             settled: BTreeSet::new(),
+            thorough: true,
             trace: std::env::var_os("SIM_TRACE").is_some(),
         }
     }
 
+    fn looks_closely(&self) -> bool {
+        self.thorough && self.machines.len() <= LARGE
+    }
+
     pub fn at(&mut self, t: Micros, step: impl FnOnce(&mut World) + 'static) {
         self.next += 1;
         self.queue.push(Reverse(Timed(t.max(self.now), self.next, Box::new(step))));
@@ -173,7 +180,7 @@
             let Some(Reverse(t)) = self.queue.pop() else { break };
             self.now = t.0;
             (t.2)(self);
-            if self.machines.len() <= LARGE || self.now >= self.next_check {
+            if self.looks_closely() || self.now >= self.next_check {
                 self.check_rules();
                 self.next_check = self.now + Micros::from_millis(250);
             }
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -1,7 +1,7 @@
 //! Scenarios as text: one statement a line, `#` starts a comment. See `crates/hopyoke/tests/scenarios/README.md`.
 
 use crate::{Cut, Host, Truth, World};
-use hopyoke_core::Team;
+use hopyoke_core::{Ask, Team};
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, MachineId};
 use hopyoke_wire::cloud::MachineType;
@@ -334,6 +334,9 @@
     if id.as_str() == "class" {
         return expect_class(w, what, it);
     }
+    if id.as_str() == "when" {
+        return expect_when(w, what, it);
+    }
     if id.as_str() == "machine" {
         let there = w.machines.contains_key(&MachineId::new(what));
         return (there == (word(it) == "there")).then_some(()).ok_or(format!("{what} is there: {there}"));
@@ -389,6 +392,28 @@
     Ok(())
 }
 
+/// `expect when JOB LEAST MOST`, `expect when TEAM GPUS ZONE|any LEAST MOST`: the p50 that the
+/// leader answers, in seconds; `... error WORD`: why it can't be told.
+fn expect_when(w: &World, what: &str, it: &mut Words) -> Result<(), String> {
+    let leader = w.leader().and_then(|i| w.nodes[i].lead.as_ref()).ok_or("nobody leads")?;
+    let found = if what.starts_with("req-") {
+        leader.core.when_job(&JobId::new(what), w.now)
+    } else {
+        let (gpus, zone) = (num(word(it)), word(it));
+        let zone = (zone != "any").then(|| zone.to_owned());
+        leader.core.when_capacity(&Ask { team: what.to_owned(), gpus, zone }, w.now)
+    };
+    let (first, second) = (word(it), word(it));
+    match found {
+        Err(e) if first == "error" && e.contains(second) => Ok(()),
+        Err(e) => Err(e),
+        Ok(a) => {
+            let fits = (num(first)..=num(second)).contains(&a.p50_s) && a.p90_s >= a.p50_s;
+            fits.then_some(()).ok_or(format!("p50 {:.1} s, p90 {:.1} s, {}", a.p50_s, a.p90_s, a.rests_on))
+        }
+    }
+}
+
 /// `expect class NAME p50 LEAST MOST`: what the leader expects a run of the class to take, in
 /// seconds, without the owner's help; `expect class NAME runs LEAST`: ends that it has learned from.
 fn expect_class(w: &World, class: &str, it: &mut Words) -> Result<(), String> {
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`serve`]: starts a node's routines and routes requests.
 //! - [`mesh`]: answers peers and operators.
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
+//! - [`questions`]: operators' questions about run times.
 //! - [`tuning`]: the operators' settings and the core's tuning.
 //! - [`node`]: what the routines of one node share.
 //! - [`links`], [`finals`], [`promises`], [`state`], [`cloud`]: calls to peers, remembered final
@@ -19,6 +20,7 @@
 pub mod mesh;
 pub mod node;
 pub mod promises;
+pub mod questions;
 pub mod serve;
 pub mod state;
 pub mod status;
--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -6,7 +6,7 @@
 use hopyoke_types::{JobId, Micros};
 use hyper::body::Incoming;
 use proto::mesh_client::MeshClient;
-use proto::{Greeting, News, StatusRequest, UserRequest};
+use proto::{Greeting, HistoryAnswer, HistoryRequest, News, StatusRequest, UserRequest, WhenAnswer, WhenRequest};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -199,12 +199,42 @@
     }
 }
 
-/// Asks a controller for its status, for operators.
-pub async fn ask_status(addr: SocketAddr) -> io::Result<String> {
+/// Makes one call for an operator.
+async fn ask<T, F, G>(addr: SocketAddr, f: F) -> io::Result<T>
+where
+    F: FnOnce(MeshClient<Channel>) -> G,
+    G: Future<Output = Result<tonic::Response<T>, Status>>,
+{
     let cancel = Cancel::new();
-    let mut client = MeshClient::new(connect(addr, &cancel).await?);
-    let answer = runtime::timeout(Micros::from_secs(3), client.status(StatusRequest {}))
+    let client = MeshClient::new(connect(addr, &cancel).await?);
+    let answer = runtime::timeout(Micros::from_secs(3), f(client))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
-    answer.map(|a| a.into_inner().text).map_err(io::Error::other)
+    answer.map(tonic::Response::into_inner).map_err(io::Error::other)
+}
+
+/// Asks a controller for its status, for operators.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn ask_status(addr: SocketAddr) -> io::Result<String> {
+    Ok(ask(addr, |mut c| async move { c.status(StatusRequest {}).await }).await?.text)
+}
+
+/// Asks when a job will be over, or GPUs will be free.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn ask_when(addr: SocketAddr, request: WhenRequest) -> io::Result<WhenAnswer> {
+    let answer = ask(addr, |mut c| async move { c.when(request).await }).await?;
+    if answer.error.is_empty() { Ok(answer) } else { Err(io::Error::other(answer.error)) }
+}
+
+/// Asks for runs that have ended.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn ask_history(addr: SocketAddr, request: HistoryRequest) -> io::Result<HistoryAnswer> {
+    let answer = ask(addr, |mut c| async move { c.history(request).await }).await?;
+    if answer.error.is_empty() { Ok(answer) } else { Err(io::Error::other(answer.error)) }
 }
--- a/crates/hopyoke/src/main.rs
+++ b/crates/hopyoke/src/main.rs
@@ -2,6 +2,8 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use hopyoke::links;
+use hopyoke::links::proto::{HistoryRequest, WhenRequest};
+use hopyoke_history::Writer;
 use hopyoke_policy::Policy;
 use hopyoke_runtime as runtime;
 use hopyoke_settings::Settings;
@@ -45,6 +47,30 @@
         #[arg(long, value_name = "ADDR")]
         mesh: SocketAddr,
     },
+    /// When a job will be over, or when so many GPUs will be free for a team, by learned run times
+    When {
+        /// A job's id
+        #[arg(required_unless_present = "team", conflicts_with_all = ["team", "gpus", "zone"])]
+        job: Option<String>,
+        #[arg(long, requires = "gpus")]
+        team: Option<String>,
+        #[arg(long, value_name = "N", requires = "team")]
+        gpus: Option<f64>,
+        #[arg(long, requires = "team")]
+        zone: Option<String>,
+        /// The mesh address of any controller
+        #[arg(long, value_name = "ADDR")]
+        mesh: SocketAddr,
+    },
+    /// Write the runs that have ended as a history that `hopyoke-lab replay` reads
+    History {
+        /// The mesh address of any controller
+        #[arg(long, value_name = "ADDR")]
+        mesh: SocketAddr,
+        /// Go on asking for this many seconds; 0: write what is there
+        #[arg(long, value_name = "SECONDS", default_value_t = 0)]
+        follow: u64,
+    },
     /// The operators' settings
     Policy {
         #[command(subcommand)]
@@ -77,6 +103,20 @@
     let result = match args.command {
         Some(Command::Check { config, policy }) => check(config.as_deref(), policy.as_deref()),
         Some(Command::Status { mesh }) => ask(mesh, links::ask_status(mesh)).map(|text| print!("{text}")),
+        Some(Command::When { job, team, gpus, zone, mesh }) => {
+            let request = WhenRequest {
+                node: String::new(),
+                job: job.unwrap_or_default(),
+                team: team.unwrap_or_default(),
+                gpus: gpus.unwrap_or(0.0),
+                zone: zone.unwrap_or_default(),
+            };
+            ask(mesh, links::ask_when(mesh, request)).map(|w| {
+                println!("p50 in {}, p90 in {}", span(w.p50_s), span(w.p90_s));
+                println!("rests on {}", w.rests_on);
+            })
+        }
+        Some(Command::History { mesh, follow }) => history(mesh, follow),
         Some(Command::Policy { command: PolicyCommand::Show { policy, format } }) => {
             load_policy(policy.as_deref()).map(|p| print!("{}", show_policy(&p, format)))
         }
@@ -176,8 +216,51 @@
     }
 }
 
+/// Seconds as people say them.
+fn span(s: f64) -> String {
+    match s {
+        _ if s < 90.0 => format!("{s:.0} s"),
+        _ if s < 5400.0 => format!("{:.1} min", s / 60.0),
+        _ => format!("{:.1} h", s / 3600.0),
+    }
+}
+
+/// Prints runs as they become known; a header comes first.
+fn history(mesh: SocketAddr, follow: u64) -> Result<(), String> {
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(follow);
+    let header = Writer::header();
+    print!("{header}");
+    let (mut token, mut since) = (0, 0);
+    loop {
+        let request = HistoryRequest { node: String::new(), token, since };
+        let answer = ask(mesh, links::ask_history(mesh, request));
+        let more = match answer {
+            Ok(a) => {
+                print!("{}", a.csv);
+                (token, since) = (a.token, a.last);
+                a.more
+            }
+            // Between two leaders nobody answers; whoever follows goes on asking.
+            Err(e) if std::time::Instant::now() >= until => return Err(e),
+            Err(e) => {
+                eprintln!("hopyoke: {e}; asking again");
+                false
+            }
+        };
+        if !more {
+            if std::time::Instant::now() >= until {
+                return Ok(());
+            }
+            std::thread::sleep(std::time::Duration::from_secs(2));
+        }
+    }
+}
+
 /// Asks a running controller.
-fn ask(addr: SocketAddr, call: impl Future<Output = std::io::Result<String>> + 'static) -> Result<String, String> {
+fn ask<T: 'static>(
+    addr: SocketAddr,
+    call: impl Future<Output = std::io::Result<T>> + 'static,
+) -> Result<T, String> {
     let answer = Rc::new(RefCell::new(None));
     let slot = answer.clone();
     runtime::run(async move {
@@ -185,7 +268,7 @@
     })
     .map_err(text)?;
     match answer.take() {
-        Some(Ok(text)) => Ok(text),
+        Some(Ok(answer)) => Ok(answer),
         Some(Err(e)) => Err(format!("{addr}: {e}")),
         None => Err(format!("{addr}: no answer")),
     }
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -5,9 +5,11 @@
 //! the rules hold all the same.
 
 use crate::links::proto::mesh_server::{Mesh, MeshServer};
-use crate::links::proto::{Greeting, News, StatusAnswer, StatusRequest, UserAnswer, UserRequest};
+use crate::links::proto::{Greeting, HistoryAnswer, HistoryRequest, News, StatusAnswer, StatusRequest};
+use crate::links::proto::{UserAnswer, UserRequest, WhenAnswer, WhenRequest};
 use crate::links::{GREET, LocalExec};
 use crate::node::{Leading, Node};
+use crate::questions;
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use hopyoke_runtime::http::{Method, Request};
@@ -74,6 +76,8 @@
     Nudge(News, oneshot::Sender<Greeting>),
     Forward(UserRequest, oneshot::Sender<UserAnswer>),
     Status(oneshot::Sender<String>),
+    When(WhenRequest, oneshot::Sender<WhenAnswer>),
+    History(HistoryRequest, oneshot::Sender<HistoryAnswer>),
 }
 
 /// tonic wants handlers that can be sent between threads; ours hand each call to a local routine.
@@ -106,6 +110,12 @@
         let text = self.pass(Call::Status).await?.into_inner();
         Ok(tonic::Response::new(StatusAnswer { text }))
     }
+    async fn when(&self, r: tonic::Request<WhenRequest>) -> Result<tonic::Response<WhenAnswer>, Status> {
+        self.pass(|reply| Call::When(r.into_inner(), reply)).await
+    }
+    async fn history(&self, r: tonic::Request<HistoryRequest>) -> Result<tonic::Response<HistoryAnswer>, Status> {
+        self.pass(|reply| Call::History(r.into_inner(), reply)).await
+    }
 }
 
 struct HyperService(MeshServer<Door>);
@@ -199,5 +209,11 @@
         Call::Status(reply) => {
             let _ = reply.send(crate::status::text(node));
         }
+        Call::When(request, reply) => {
+            let _ = reply.send(questions::when(node, request).await);
+        }
+        Call::History(request, reply) => {
+            let _ = reply.send(questions::history(node, request).await);
+        }
     }
 }
--- a/crates/hopyoke/src/status.rs
+++ b/crates/hopyoke/src/status.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use hopyoke_core::{Amounts, Phase};
+use hopyoke_runtime as runtime;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -13,6 +14,13 @@
     let _ = writeln!(out, "leader {leader} state_answers {}", node.state.answers());
     let Some(leading) = node.leading() else { return out };
     let core = leading.core.borrow();
+    let now = runtime::now();
+    let (runs, classes, _, forgotten) = core.learned_counts();
+    let _ = writeln!(out, "learned classes {classes} forgotten {forgotten} runs_under_way {runs}");
+    for slow in core.slow_machines() {
+        let _ =
+            writeln!(out, "slow machine {} factor {:.2} from {:.0} runs", slow.machine, slow.factor, slow.runs);
+    }
     let _ = writeln!(out, "token {} entitled {} recovering {}", core.token, leading.entitled(), core.recovering());
     for zone in &core.cfg.zones {
         let n = core.machines.values().filter(|m| m.zone == *zone).count();
@@ -55,6 +63,9 @@
             core.running(id),
             unknown.count()
         );
+        if let Ok(w) = core.when_job(id, now) {
+            let _ = write!(out, " ends_in {:.0} to {:.0} s", w.p50_s, w.p90_s);
+        }
         let _ = if j.waits_for.is_empty() { writeln!(out) } else { writeln!(out, " waits for {}", j.waits_for) };
     }
     out
