Runs found overdue at a takeover are counted once; only the view that was wrong moves

Cause: a new leader counted what the last one had counted, so classes were moved at every takeover, and an alarm of outlived bands moved the ratio view as well where the owner had foreseen the growth.

Change: what is overdue when it is found is not counted again; each view moves only if it did not foresee the runs that are late.

--- a/crates/hopyoke-runtimes/src/learner.rs
+++ b/crates/hopyoke-runtimes/src/learner.rs
@@ -266,7 +266,7 @@
             overdue: false,
             ends: None,
         };
-        self.watch(&key, &mut run, &found.distribution);
+        self.watch(&key, &mut run, &found.distribution, true);
         self.running.insert(key, run);
     }
 
@@ -275,13 +275,19 @@
     }
 
     /// The run is looked at again when it will have outlived 95 of 100.
-    fn watch(&mut self, key: &RunKey, run: &mut Running, d: &Distribution) {
+    fn watch(&mut self, key: &RunKey, run: &mut Running, d: &Distribution, first: bool) {
         let Some(before) = run.before else { return };
         let after = |q: f32| {
             let whole = Micros::from_secs_f64(f64::from((q + run.factor).exp()));
             run.since + (whole - before).max(Micros(1))
         };
-        self.due.push(Reverse((after(d.0[GRID.len() - 2]), key.clone())));
+        let late = after(d.0[GRID.len() - 2]);
+        if first && late <= run.since + Micros(1) {
+            // Found after a takeover, and overdue already: the last leader has counted it.
+            run.overdue = true;
+        } else {
+            self.due.push(Reverse((late, key.clone())));
+        }
         if let Some(old) = run.ends.replace(after(d.0[P90])) {
             self.ends.remove(&(old, key.clone()));
         }
@@ -312,7 +318,7 @@
             run.before = Some((day + run.since) - (granted + after + lead));
             let work = Work { class: &run.class.clone(), team: &run.team.clone(), estimate_s: 0.0 };
             let d = Model::predict(&self.models(work), run.estimate);
-            self.watch(&key, &mut run, &d);
+            self.watch(&key, &mut run, &d, true);
             self.running.insert(key, run);
         }
     }
@@ -356,15 +362,14 @@
             // The median of those that are overdue now lies at least where they are.
             let class = run.class.clone();
             let late = self.running.values().filter(|r| r.class == class && r.overdue);
-            let mut beyond: Vec<f32> =
-                late.filter_map(|r| Some(sane(r.ran(now)?)? - r.band.1)).filter(|d| *d > 0.0).collect();
-            beyond.sort_by(f32::total_cmp);
-            let Some(by) = beyond.get(beyond.len() / 2).copied() else { continue };
-            if let Some(entry) = self.classes.get_mut(&class) {
-                entry.model.move_by(by);
-                entry.drift = 0.0;
-                self.shelf.touch(entry.page);
+            let late: Vec<(f32, Option<f32>)> =
+                late.filter_map(|r| Some((sane(r.ran(now)?)? - r.factor, r.estimate))).collect();
+            let Some(entry) = self.classes.get_mut(&class) else { continue };
+            if !entry.model.outlived(&late) {
+                continue;
             }
+            entry.drift = 0.0;
+            self.shelf.touch(entry.page);
             // Its other runs are looked at again by what is known now.
             let again: Vec<RunKey> = self
                 .running
@@ -378,7 +383,7 @@
                 let models = self.models(work);
                 let d = Model::predict(&models, run.estimate);
                 run.overdue = false;
-                self.watch(&key, &mut run, &d);
+                self.watch(&key, &mut run, &d, false);
                 self.running.insert(key, run);
             }
             changed.push(class);
--- a/crates/hopyoke-runtimes/src/model.rs
+++ b/crates/hopyoke-runtimes/src/model.rs
@@ -90,10 +90,22 @@
         }
     }
 
-    /// Runs under way have outlived what was known by this much.
-    pub fn move_by(&mut self, by: f32) {
-        self.level.move_by(by);
-        self.ratio.move_by(by);
+    /// These runs under way (logarithms of what they have run, and of estimates) have outlived what
+    /// was known. A view that did not foresee them moves to where they are; one that did stays.
+    pub fn outlived(&mut self, late: &[(f32, Option<f32>)]) -> bool {
+        let level: Vec<f32> = late.iter().map(|(x, _)| *x).collect();
+        let ratio: Vec<f32> = late.iter().filter_map(|(x, e)| Some(x - (*e)?)).collect();
+        let mut moved = false;
+        for (view, mut at) in [(&mut self.level, level), (&mut self.ratio, ratio)] {
+            at.sort_by(f32::total_cmp);
+            let (Some(at), Some(grid)) = (at.get(at.len() / 2), view.grid()) else { continue };
+            if *at > grid[P90] {
+                let by = at - grid[MEDIAN];
+                view.move_by(by);
+                moved = true;
+            }
+        }
+        moved
     }
 
     /// A band that was told has been hit or missed: its sides follow.
