--- /dev/null
+++ b/crates/hopyoke-runtimes/tests/properties.rs
@@ -0,0 +1,79 @@
+//! Property tests: whatever is observed or read, what is told is a distribution.
+
+use hopyoke_runtimes::{End, Learner, Page, PageKey, Work};
+use hopyoke_types::{Attempt, JobId, MachineId, Micros, TaskId};
+use proptest::prelude::*;
+
+fn config(cases: u32) -> ProptestConfig {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(11);
+    ProptestConfig { cases, failure_persistence: None, rng_seed, ..ProptestConfig::default() }
+}
+
+fn sound(learner: &Learner, estimate_s: f64) -> Result<(), TestCaseError> {
+    for class in ["a", "never seen"] {
+        let work = Work { class, team: "t", estimate_s };
+        let d = learner.estimate(work, Some(&MachineId::new("m-1"))).distribution;
+        let q: Vec<f64> = [0.0, 0.1, 0.5, 0.9, 1.0].map(|p| d.quantile(p)).to_vec();
+        prop_assert!(q.iter().all(|x| x.is_finite() && *x > 0.0), "{q:?}");
+        prop_assert!(q.windows(2).all(|w| w[0] <= w[1]), "{q:?}");
+        for ran in [0.0, 1.0, 1e3, 1e9] {
+            let left = (d.remaining(ran, 0.1), d.remaining(ran, 0.9));
+            prop_assert!(left.0.is_finite() && left.1.is_finite() && 0.0 <= left.0 && left.0 <= left.1 + 1e-3);
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config(200))]
+
+    /// Estimates that are no numbers, absurd lengths, any order of ends: nothing of it gets in.
+    #[test]
+    fn nonsense_never_enters(
+        runs in prop::collection::vec((0u64..4_000_000_000_000, 0usize..5, 0u8..4, any::<bool>()), 1..60),
+        ask in prop_oneof![Just(f64::NAN), Just(-1.0), Just(f64::INFINITY), 0.0..1e6f64],
+    ) {
+        let mut learner = Learner::default();
+        let guesses = [f64::NAN, -5.0, 0.0, f64::INFINITY, 60.0];
+        for (i, (us, guess, end, dated)) in runs.into_iter().enumerate() {
+            let key = (TaskId { job: JobId::new("req-1"), index: i as u32 }, Attempt(1));
+            let work = Work { class: "a", team: "t", estimate_s: guesses[guess] };
+            let began = Micros::from_secs(i as u64);
+            learner.started(key.clone(), work, vec![MachineId::new("m-1")], began, dated.then_some(Micros::ZERO));
+            let end = [End::Done, End::Done, End::Cut, End::Void][usize::from(end)];
+            learner.tick(began + Micros(us / 2));
+            learner.ended(&key, end, began + Micros(us));
+        }
+        sound(&learner, ask)?;
+    }
+
+    /// A page with anything in it is taken up or left aside; either way the learner is sound.
+    #[test]
+    fn any_page_is_taken_or_left(
+        values in prop::collection::vec((any::<i32>(), any::<u32>()), 0..40),
+        loss in any::<u32>(),
+        numbers in any::<(u32, u32, u32, u32)>(),
+        tests in any::<[(i32, i32, u16); 2]>(),
+        version in 0u32..3,
+    ) {
+        let text = serde_json::json!({
+            "v": version,
+            "e": [["c", "a", {"v": {"q": values, "l": loss, "c": tests}, "r": {"q": [], "l": 0}, "w": numbers}]],
+            "g": [[1, 2]],
+        });
+        let Ok(page) = serde_json::from_value::<Page>(text) else { return Ok(()) };
+        let mut learner = Learner::default();
+        let loaded = learner.load(PageKey(0), &page);
+        prop_assert!(version == 1 || loaded.is_err());
+        sound(&learner, 50.0)?;
+    }
+}
+
+#[test]
+fn pages_of_other_versions_and_torn_ones_are_left_aside() {
+    let newer: Page = serde_json::from_str(r#"{"v":2,"x":[1,2]}"#).expect("unknown fields are ignored");
+    let mut learner = Learner::default();
+    assert!(learner.load(PageKey(0), &newer).expect_err("a newer version").contains("version 2"));
+    assert!(serde_json::from_str::<Page>(r#"{"v":1,"e":[["c","a""#).is_err());
+    assert!(PageKey::parse("x").is_none() && PageKey::parse("24").is_none() && PageKey::parse("23").is_some());
+}
