--- a/crates/hopyoke-runtimes/src/pages.rs
+++ b/crates/hopyoke-runtimes/src/pages.rs
@@ -103,6 +103,18 @@
         }
     }
 
+    /// The newest grants stay: after fifty takeovers those of the latest leaders are the ones that
+    /// attempts still carry.
+    fn add_grant(&mut self, token: u64, at: u64) {
+        if self.grants.iter().any(|(t, _)| *t == token) {
+            return;
+        }
+        self.grants.push((token, at));
+        self.grants.sort_unstable();
+        let surplus = self.grants.len().saturating_sub(MOST_GRANTS);
+        self.grants.drain(..surplus);
+    }
+
     fn at(&mut self, key: PageKey) -> &mut Place {
         let i = usize::from(key.0).min(PAGES - 1);
         if self.pages.len() <= i {
@@ -118,14 +130,7 @@
         if self.all.page.is_none() {
             self.all.page = self.shelf.place();
         }
-        let grants = &mut self.shelf.grants;
-        if grants.iter().any(|(t, _)| *t == token) {
-            return;
-        }
-        grants.push((token, time_of_day.0));
-        grants.sort_unstable();
-        let surplus = grants.len().saturating_sub(MOST_GRANTS);
-        grants.drain(..surplus);
+        self.shelf.add_grant(token, time_of_day.0);
         self.shelf.touch(Some(0));
     }
 
@@ -175,12 +180,9 @@
                 loaded += 1;
             }
         }
-        for (token, at) in page.g.iter().take(MOST_GRANTS) {
-            if !self.shelf.grants.iter().any(|(t, _)| t == token) {
-                self.shelf.grants.push((*token, *at));
-            }
+        for (token, at) in page.g.iter().take(4 * MOST_GRANTS) {
+            self.shelf.add_grant(*token, *at);
         }
-        self.shelf.grants.sort_unstable();
         if bad > 0 { Err(format!("{bad} entries are nonsense, {loaded} were taken")) } else { Ok(loaded) }
     }
 
--- a/crates/hopyoke-runtimes/tests/properties.rs
+++ b/crates/hopyoke-runtimes/tests/properties.rs
@@ -77,3 +77,24 @@
     assert!(serde_json::from_str::<Page>(r#"{"v":1,"e":[["c","a""#).is_err());
     assert!(PageKey::parse("x").is_none() && PageKey::parse("24").is_none() && PageKey::parse("23").is_some());
 }
+
+/// Leader after leader, the latest grants are handed on. (They were lost after 48: the oldest stayed.)
+#[test]
+fn the_latest_grants_outlive_many_takeovers() {
+    let mut pages: Vec<(PageKey, Page)> = Vec::new();
+    for token in 1..200u64 {
+        let mut learner = Learner::default();
+        learner.note_grant(token, Micros::from_secs(token));
+        for (key, page) in &pages {
+            learner.load(*key, page).expect("a good page");
+        }
+        for before in token.saturating_sub(20).max(1)..=token {
+            assert_eq!(learner.granted_at(before), Some(Micros::from_secs(before)), "{before} at {token}");
+        }
+        pages.clear();
+        while let Some((key, page)) = learner.next_page(Micros::from_secs(1), Micros::ZERO) {
+            learner.page_ended(key, true);
+            pages.push((key, page));
+        }
+    }
+}
