Workflow runs as durable state machines: the engine, with every crash point tested

Change: package hopyoke-flow, sans-IO: plans in pages, heads, step pages; step ids that follow from run, step and try; claims by rendezvous order; every write and submission conditional on the grant and the head's mark; the three-way check at each takeover; limits, fair turns, jittered retries, budgets of reads and writes.

--- /dev/null
+++ b/crates/hopyoke-flow/benches/engine.rs
@@ -0,0 +1,113 @@
+//! The engine's cost per step: a run is claimed, read, submitted and ended, with answers at once.
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use hopyoke_flow::{
+    Action, Engine, Fetched, Head, JobEnd, Limits, Outcome, Plan, PlanStep, RunId, StepNo, Written,
+};
+use hopyoke_types::{JobId, Mark, Micros};
+use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use std::collections::BTreeMap;
+
+fn plan(steps: u32) -> Plan {
+    let shape = JobSpec {
+        id: JobId::new("req-0"),
+        class: "convert".into(),
+        team: "crew".into(),
+        kind: JobKind::Array,
+        priority: Priority::Normal,
+        tasks: 1,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    // Chains of ten, beside each other.
+    let after = |i: u32| if i.is_multiple_of(10) { Vec::new() } else { vec![StepNo(i - 1)] };
+    let steps = (0..steps).map(|i| PlanStep {
+        path: format!("chain{}/s{}", i / 10, i % 10),
+        after: after(i),
+        shape: Some(0),
+        tasks: 1,
+    });
+    Plan { shapes: vec![shape], steps: steps.collect(), outputs: "{}".into() }
+}
+
+/// Carries one run to its end; returns what the engine looked at.
+fn carry(plan: &Plan) -> u64 {
+    let run = RunId::new(1).expect("in range");
+    let head = Head::new("bench", "crew", "", plan, 1, 0);
+    let limits = Limits {
+        writes_per_s: 1e9,
+        reads_per_s: 1e9,
+        steps_in_flight: 1000,
+        team_steps_in_flight: 1000,
+        ..Limits::default()
+    };
+    let mut now = Micros::ZERO;
+    let mut e = Engine::new(limits, "node", vec!["node".into()], 16, 1, now);
+    e.head_seen(run, head.clone(), Mark(1), now);
+    let mut marks = BTreeMap::new();
+    let mut ended = Vec::new();
+    while e.runs().next().is_some() {
+        now += Micros::from_millis(50);
+        e.tick(now);
+        while let Some(action) = e.next_action() {
+            match &action {
+                Action::Claim { run } => e.claimed(*run, Ok(Mark(2)), now),
+                Action::Fetch { run, epoch, .. } => {
+                    let fetched = Fetched {
+                        head: head.clone(),
+                        head_mark: Mark(1),
+                        grant: Some(Mark(2)),
+                        plan: Some(plan.clone()),
+                        pages: Vec::new(),
+                        jobs: Vec::new(),
+                        ends: Vec::new(),
+                    };
+                    e.fetched(*run, *epoch, Some(fetched), now);
+                }
+                Action::Submit { run, epoch, step, spec, .. } => {
+                    e.submitted(*run, *epoch, *step, Outcome::Accepted, now);
+                    ended.push(spec.id.clone());
+                }
+                Action::Write { run, epoch, pages, .. } => {
+                    marks.extend(pages.iter().map(|p| (p.0, now)));
+                    let mark = Mark(3 + now.0);
+                    e.written(*run, *epoch, &action, Written::Applied(mark), now);
+                }
+                Action::Withdraw { .. } => unreachable!("nothing is withdrawn"),
+            }
+        }
+        for job in ended.drain(..) {
+            e.job_ended(&job, JobEnd::Done, now);
+        }
+    }
+    e.looks()
+}
+
+fn engine(c: &mut Criterion) {
+    for steps in [100u32, 1_000, 10_000] {
+        let plan = plan(steps);
+        c.bench_function(&format!("carry {steps} steps"), |b| {
+            b.iter_batched(|| plan.clone(), |p| carry(&p), BatchSize::LargeInput)
+        });
+    }
+    let plan = plan(1_000);
+    let pages = plan.pages(8192).expect("small steps");
+    let bytes: usize = pages.iter().map(|p| serde_json::to_string(p).map_or(0, |t| t.len())).sum();
+    println!("plan: {} pages, {} bytes a step", pages.len(), bytes / 1000);
+    c.bench_function("pages of 1000 steps", |b| b.iter(|| plan.pages(8192)));
+}
+
+criterion_group! { name = benches; config = Criterion::default().sample_size(10); targets = engine }
+criterion_main!(benches);
--- /dev/null
+++ b/crates/hopyoke-flow/tests/properties.rs
@@ -0,0 +1,170 @@
+//! Random graphs under random faults against a plain reference: what can be done is done, once, in
+//! order, and nothing else.
+
+#[allow(dead_code)]
+mod model;
+
+use hopyoke_flow::{OnError, Plan, PlanPage, PlanStep, RunId, RunState, StepNo};
+use hopyoke_types::{JobId, Micros};
+use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use model::{FAULTS, Fate, Model};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug, Clone)]
+struct Graph {
+    /// Steps needed, and whether there is work, and whether it fails.
+    steps: Vec<(Vec<usize>, bool, bool)>,
+    keep_on: bool,
+    cancel: Option<u8>,
+    faults: Vec<(u64, usize)>,
+}
+
+fn graphs() -> impl Strategy<Value = Graph> {
+    let step = (prop::collection::vec(any::<prop::sample::Index>(), 0..4), 0u8..10, 0u8..20);
+    let steps = prop::collection::vec(step, 1..24);
+    let faults = prop::collection::vec((0u64..90, 0..FAULTS.len()), 0..5);
+    (steps, any::<bool>(), prop::option::weighted(0.25, 1u8..15), faults).prop_map(
+        |(steps, keep_on, cancel, faults)| {
+            let steps = (0..)
+                .zip(steps)
+                .map(|(i, (after, work, fails))| {
+                    let mut after: Vec<usize> =
+                        if i == 0 { Vec::new() } else { after.iter().map(|x| x.index(i)).collect() };
+                    after.sort_unstable();
+                    (after, work > 1, fails == 0)
+                })
+                .collect();
+            Graph { steps, keep_on, cancel, faults }
+        },
+    )
+}
+
+/// The plain reference: which steps can be done at all.
+fn reachable(g: &Graph) -> BTreeSet<usize> {
+    let mut done = BTreeSet::new();
+    for (i, (after, work, fails)) in g.steps.iter().enumerate() {
+        if after.iter().all(|d| done.contains(d)) && !(*work && *fails) {
+            done.insert(i);
+        }
+    }
+    done
+}
+
+fn shape() -> JobSpec {
+    JobSpec {
+        id: JobId::new("req-0"),
+        class: "convert".into(),
+        team: "crew".into(),
+        kind: JobKind::Array,
+        priority: Priority::Normal,
+        tasks: 1,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+fn plan_of(g: &Graph) -> Plan {
+    let steps = g.steps.iter().enumerate().map(|(i, (after, work, _))| PlanStep {
+        path: format!("s{i}"),
+        after: after.iter().map(|d| StepNo(*d as u32)).collect(),
+        shape: work.then_some(0),
+        tasks: 1,
+    });
+    Plan { shapes: vec![shape()], steps: steps.collect(), outputs: "{}".into() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn as_the_reference(g in graphs(), seed in 0u64..1000) {
+        let run = RunId::new(7).expect("in range");
+        let mut m = Model::new(seed, 3);
+        m.faults = g.faults.iter().map(|(n, f)| (*n, FAULTS[*f])).collect();
+        let mut fates = BTreeMap::new();
+        for (i, (_, _, fails)) in g.steps.iter().enumerate() {
+            let t = Micros::from_millis(300 + 97 * i as u64 % 2000);
+            fates.insert(StepNo(i as u32), if *fails { Fate::GivenUp(t) } else { Fate::Done(t) });
+        }
+        m.submit(run, "crew", plan_of(&g), fates, g.keep_on);
+        if let Some(t) = g.cancel {
+            m.cancel_at(run, Micros::from_secs(u64::from(t)));
+        }
+        m.run_until(Micros::from_secs(400));
+        prop_assert!(m.broken.is_empty(), "{:?}", m.broken);
+        let r = &m.runs[&run];
+        let (state, _) = r.ended.ok_or_else(|| TestCaseError::fail("it never ended"))?;
+        let can = reachable(&g);
+        let with_work: BTreeSet<StepNo> =
+            can.iter().filter(|i| g.steps[**i].1).map(|i| StepNo(*i as u32)).collect();
+        // Only what fails keeps a step from being done; one that nothing leads to may fail unseen.
+        let fails = (0..g.steps.len()).any(|i| {
+            let (after, work, fails) = &g.steps[i];
+            *work && *fails && after.iter().all(|d| can.contains(d))
+        });
+        if r.cancelled.is_some() {
+            prop_assert_eq!(state, RunState::Cancelled);
+            prop_assert!(r.done.is_subset(&with_work));
+        } else if fails {
+            prop_assert_eq!(state, RunState::Failed);
+            if g.keep_on {
+                prop_assert_eq!(&r.done, &with_work);
+            } else {
+                prop_assert!(r.done.is_subset(&with_work));
+            }
+        } else {
+            prop_assert_eq!(state, RunState::Done);
+            prop_assert_eq!(&r.done, &with_work);
+        }
+    }
+
+    #[test]
+    fn plans_survive_their_pages(g in graphs(), bytes in 1024usize..8192, outputs in ".{0,3000}") {
+        let plan = Plan { outputs, ..plan_of(&g) };
+        let pages = plan.pages(bytes).map_err(|e| TestCaseError::fail(e.to_string()))?;
+        for p in &pages {
+            let size = serde_json::to_string(p).map_or(0, |t| t.len());
+            prop_assert!(size <= bytes, "a page of {} bytes", size);
+        }
+        let text: Vec<String> = pages.iter().map(|p| serde_json::to_string(p).unwrap_or_default()).collect();
+        let read = text.iter().map(|t| serde_json::from_str::<PlanPage>(t).expect("its own page"));
+        let back = Plan::of_pages(read);
+        prop_assert_eq!(back.digest(), plan.digest());
+        prop_assert_eq!(back, plan);
+    }
+}
+
+#[test]
+fn faults_of_plans_are_named() {
+    let plan = |steps: Vec<PlanStep>| Plan { shapes: vec![shape()], steps, outputs: String::new() };
+    let step = |path: &str, after: Vec<u32>, shape: Option<u32>| PlanStep {
+        path: path.into(),
+        after: after.into_iter().map(StepNo).collect(),
+        shape,
+        tasks: 1,
+    };
+    let said = |p: Plan, team: &str| p.check(team).expect_err("a fault").to_string();
+    let circle = plan(vec![step("a", vec![1], Some(0)), step("b", vec![0], Some(0))]);
+    assert!(said(circle, "crew").contains("circle: a"));
+    assert!(said(plan(vec![step("a", vec![5], Some(0))]), "crew").contains("waits for step 5"));
+    assert!(said(plan(vec![step("a", vec![], Some(3))]), "crew").contains("shape 3"));
+    assert!(said(plan(vec![step("a", vec![], Some(0))]), "other").contains("its team is crew"));
+    assert!(said(plan(vec![step("", vec![], Some(0))]), "crew").contains("name"));
+    let mut none = plan(vec![step("a", vec![], Some(0))]);
+    none.steps[0].tasks = 0;
+    assert!(said(none, "crew").contains("oars"));
+    assert_eq!(OnError::default(), OnError::Stop);
+}
--- a/crates/hopyoke-wire/src/user.rs
+++ b/crates/hopyoke-wire/src/user.rs
@@ -86,7 +86,11 @@
         spec.check().map(|()| spec)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// Checks every field's range.
+    ///
+    /// # Errors
+    /// The field at fault, and what it must be.
+    pub fn check(&self) -> Result<(), String> {
         if JobId::parse(self.id.as_str()).is_none() {
             return Err("id: must be 'req-' followed by digits".into());
         }
