CWL v1.2 documents: read, checked whole, and expanded into plans of runs

Change: package hopyoke-cwl: YAML and JSON with places, bounded in bytes, values and depth; imports and graphs; all three kinds of process; links, types and features checked, every fault with file, line and what is asked; parameter references by a pest grammar; JavaScript by an embedded engine, bounded in time, memory and stack; scatter as one array job a shape; pictures as DOT and SVG; one scheduling hint.

--- /dev/null
+++ b/crates/hopyoke-cwl/src/lib.rs
@@ -0,0 +1,54 @@
+//! Documents of the Common Workflow Language, v1.2: read, checked whole, and expanded with their
+//! inputs into a [`hopyoke_flow::Plan`] and a description for each task.
+//!
+//! - [`yaml`]: YAML and JSON into a tree of nodes with places, bounded in size and depth.
+//! - [`load`]: `$import`, `$include`, `$graph` and references between files.
+//! - [`read`]: the tree into processes; every fault with its place.
+//! - [`check`]: what the documents ask of each other: links, types, features.
+//! - [`expr`], [`js`]: parameter references, and JavaScript bounded in time and memory.
+//! - [`expand`]: a checked document and its inputs into a plan.
+//! - [`graph`]: a workflow as DOT and SVG.
+//!
+//! Controllers never read documents: whoever speaks CWL runs in a process of its own and hands them
+//! plans. The scheduler's protocol says of a task only that it is done, so values that a task
+//! computes are not known to the engine. Files are: their names follow from run, step and place.
+//! What depends on a value that only a task's run can tell is refused by name.
+
+pub mod check;
+pub mod command;
+pub mod expand;
+pub mod expr;
+pub mod fault;
+pub mod graph;
+pub mod hints;
+pub mod js;
+pub mod load;
+pub mod model;
+pub mod read;
+mod scatter;
+pub mod types;
+pub mod yaml;
+
+pub use expand::{Expanded, Options, expand};
+pub use fault::{Fault, Faults, Level, Pos};
+pub use load::{Documents, Source};
+pub use model::Process;
+
+/// Reads and checks a document.
+///
+/// # Errors
+/// Every fault, with its place. Warnings alone are no error; they come with the process.
+pub fn open(source: &dyn Source, name: &str) -> Result<(std::rc::Rc<Process>, Faults), Faults> {
+    let mut faults = Faults::default();
+    let mut documents = Documents::new(source);
+    let process = documents.process(name, &mut faults);
+    if let Some(p) = &process
+        && !faults.has_errors()
+    {
+        check::check(p, &mut faults);
+    }
+    match process {
+        Some(p) if !faults.has_errors() => Ok((p, faults)),
+        _ => Err(faults),
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-cwl/src/yaml.rs
@@ -0,0 +1,321 @@
+//! YAML 1.2 and JSON into a tree whose nodes know their places.
+//!
+//! Bounded: a document has at most [`MOST_BYTES`], [`MOST_NODES`] after all aliases are followed, and
+//! [`MOST_DEPTH`] levels; whatever goes beyond is a fault at its place.
+
+use crate::fault::{Faults, Pos};
+use saphyr_parser::{Event, Parser, ScalarStyle, Span};
+use serde_json::Value;
+use std::collections::HashMap;
+
+pub const MOST_BYTES: usize = 4 << 20;
+pub const MOST_NODES: usize = 400_000;
+pub const MOST_DEPTH: usize = 64;
+
+/// A node and where it begins.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Node {
+    pub at: Pos,
+    pub data: Data,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Data {
+    Null,
+    Bool(bool),
+    Int(i64),
+    Float(f64),
+    Str(String),
+    Seq(Vec<Node>),
+    Map(Vec<Entry>),
+}
+
+/// A key of a map with its value.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    pub key: String,
+    pub at: Pos,
+    pub node: Node,
+}
+
+impl Node {
+    pub fn get(&self, key: &str) -> Option<&Node> {
+        self.entry(key).map(|e| &e.node)
+    }
+
+    pub fn entry(&self, key: &str) -> Option<&Entry> {
+        match &self.data {
+            Data::Map(entries) => entries.iter().find(|e| e.key == key),
+            _ => None,
+        }
+    }
+
+    pub fn as_str(&self) -> Option<&str> {
+        match &self.data {
+            Data::Str(s) => Some(s),
+            _ => None,
+        }
+    }
+
+    pub fn as_seq(&self) -> Option<&[Node]> {
+        match &self.data {
+            Data::Seq(s) => Some(s),
+            _ => None,
+        }
+    }
+
+    pub fn as_map(&self) -> Option<&[Entry]> {
+        match &self.data {
+            Data::Map(m) => Some(m),
+            _ => None,
+        }
+    }
+
+    /// What kind of node it is, for messages.
+    pub fn kind(&self) -> &'static str {
+        match &self.data {
+            Data::Null => "null",
+            Data::Bool(_) => "a boolean",
+            Data::Int(_) | Data::Float(_) => "a number",
+            Data::Str(_) => "a text",
+            Data::Seq(_) => "a list",
+            Data::Map(_) => "a map",
+        }
+    }
+
+    /// The node without its places.
+    pub fn to_value(&self) -> Value {
+        match &self.data {
+            Data::Null => Value::Null,
+            Data::Bool(b) => Value::from(*b),
+            Data::Int(i) => Value::from(*i),
+            Data::Float(x) => Value::from(*x),
+            Data::Str(s) => Value::from(s.as_str()),
+            Data::Seq(list) => list.iter().map(Node::to_value).collect(),
+            Data::Map(entries) => {
+                Value::Object(entries.iter().map(|e| (e.key.clone(), e.node.to_value())).collect())
+            }
+        }
+    }
+}
+
+/// Something that is open while the events come in.
+enum Open {
+    Seq(Pos, usize, Vec<Node>),
+    Map(Pos, usize, Vec<Entry>, Option<(String, Pos)>),
+}
+
+/// Reads one document. `used`: values read so far, of all documents. `None`: it has a fault, which
+/// is noted.
+pub fn parse(text: &str, file: u32, used: &mut usize, faults: &mut Faults) -> Option<Node> {
+    let start = Pos { file, line: 1, column: 1 };
+    if text.len() > MOST_BYTES {
+        faults.error(
+            start,
+            format!("the file has {} bytes", text.len()),
+            format!("at most {MOST_BYTES} are read"),
+        );
+        return None;
+    }
+    let mut b = Builder { file, nodes: *used, open: Vec::new(), anchors: HashMap::new(), root: None };
+    let mut documents = 0;
+    for event in Parser::new_from_str(text) {
+        let result = match event {
+            Ok((Event::DocumentStart(_), span)) => {
+                documents += 1;
+                if documents > 1 { Err((b.pos(span), "a second document begins".to_owned())) } else { Ok(()) }
+            }
+            Ok((event, span)) => b.event(event, span),
+            Err(e) => {
+                let at = Pos { file, line: e.marker().line() as u32, column: e.marker().col() as u32 + 1 };
+                Err((at, e.info().to_owned()))
+            }
+        };
+        if let Err((at, message)) = result {
+            faults.error(at, message, "one YAML or JSON document, within the bounds that docs/CWL.md states");
+            return None;
+        }
+    }
+    *used = b.nodes;
+    if b.root.is_none() {
+        faults.error(start, "the file is empty", "one YAML or JSON document");
+    }
+    b.root
+}
+
+struct Builder {
+    file: u32,
+    nodes: usize,
+    open: Vec<Open>,
+    /// Anchored nodes, and how many nodes each has.
+    anchors: HashMap<usize, (Node, usize)>,
+    root: Option<Node>,
+}
+
+type Failure = (Pos, String);
+
+impl Builder {
+    fn pos(&self, span: Span) -> Pos {
+        Pos { file: self.file, line: span.start.line() as u32, column: span.start.col() as u32 + 1 }
+    }
+
+    fn count(&mut self, n: usize, at: Pos) -> Result<(), Failure> {
+        self.nodes += n;
+        if self.nodes > MOST_NODES {
+            return Err((at, format!("more than {MOST_NODES} values, aliases followed")));
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, event: Event<'_>, span: Span) -> Result<(), Failure> {
+        let at = self.pos(span);
+        match event {
+            Event::Scalar(text, style, anchor, _) => {
+                self.count(1, at)?;
+                let data = if style == ScalarStyle::Plain { plain(&text) } else { Data::Str(text.into_owned()) };
+                let node = Node { at, data };
+                // A key is taken as it is written.
+                if let Some(Open::Map(_, _, _, key @ None)) = self.open.last_mut() {
+                    *key = Some((text_of(&node), at));
+                    return Ok(());
+                }
+                self.anchor(anchor, &node, 1);
+                self.add(node)
+            }
+            Event::SequenceStart(anchor, _) => self.begin(Open::Seq(at, anchor, Vec::new()), at),
+            Event::MappingStart(anchor, _) => self.begin(Open::Map(at, anchor, Vec::new(), None), at),
+            Event::SequenceEnd | Event::MappingEnd => {
+                let (node, anchor) = match self.open.pop() {
+                    Some(Open::Seq(at, anchor, list)) => (Node { at, data: Data::Seq(list) }, anchor),
+                    Some(Open::Map(at, anchor, entries, _)) => (Node { at, data: Data::Map(entries) }, anchor),
+                    None => return Err((at, "an end without its beginning".into())),
+                };
+                if anchor > 0 {
+                    let size = size(&node);
+                    self.anchor(anchor, &node, size);
+                }
+                self.add(node)
+            }
+            Event::Alias(anchor) => {
+                let Some((node, size)) = self.anchors.get(&anchor).cloned() else {
+                    return Err((at, "an alias of a value that contains it, or of none".into()));
+                };
+                if self.open.len() + depth(&node) > MOST_DEPTH {
+                    return Err((at, format!("more than {MOST_DEPTH} levels")));
+                }
+                self.count(size, at)?;
+                if let Some(Open::Map(_, _, _, key @ None)) = self.open.last_mut() {
+                    *key = Some((text_of(&node), at));
+                    return Ok(());
+                }
+                self.add(node)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn begin(&mut self, open: Open, at: Pos) -> Result<(), Failure> {
+        self.count(1, at)?;
+        if let Some(Open::Map(_, _, _, None)) = self.open.last() {
+            return Err((at, "a key must be a text".into()));
+        }
+        if self.open.len() >= MOST_DEPTH {
+            return Err((at, format!("more than {MOST_DEPTH} levels")));
+        }
+        self.open.push(open);
+        Ok(())
+    }
+
+    fn anchor(&mut self, anchor: usize, node: &Node, size: usize) {
+        if anchor > 0 {
+            self.anchors.insert(anchor, (node.clone(), size));
+        }
+    }
+
+    fn add(&mut self, node: Node) -> Result<(), Failure> {
+        match self.open.last_mut() {
+            None => self.root = Some(node),
+            Some(Open::Seq(_, _, list)) => list.push(node),
+            Some(Open::Map(_, _, entries, key)) => {
+                let Some((key, at)) = key.take() else { return Err((node.at, "a value without its key".into())) };
+                if key == "<<" {
+                    merge(entries, &node)?;
+                } else if entries.iter().any(|e| e.key == key) {
+                    return Err((at, format!("'{key}' stands here twice")));
+                } else {
+                    entries.push(Entry { key, at, node });
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// YAML's merge key: what is not said yet is taken over.
+fn merge(entries: &mut Vec<Entry>, node: &Node) -> Result<(), Failure> {
+    let maps = match &node.data {
+        Data::Seq(list) => list.iter().collect(),
+        _ => vec![node],
+    };
+    for map in maps {
+        let Some(more) = map.as_map() else { return Err((map.at, "only a map can be merged".into())) };
+        for e in more {
+            if !entries.iter().any(|x| x.key == e.key) {
+                entries.push(e.clone());
+            }
+        }
+    }
+    Ok(())
+}
+
+fn size(node: &Node) -> usize {
+    match &node.data {
+        Data::Seq(list) => 1 + list.iter().map(size).sum::<usize>(),
+        Data::Map(entries) => 1 + entries.iter().map(|e| size(&e.node)).sum::<usize>(),
+        _ => 1,
+    }
+}
+
+fn depth(node: &Node) -> usize {
+    match &node.data {
+        Data::Seq(list) => 1 + list.iter().map(depth).max().unwrap_or(0),
+        Data::Map(entries) => 1 + entries.iter().map(|e| depth(&e.node)).max().unwrap_or(0),
+        _ => 1,
+    }
+}
+
+fn text_of(node: &Node) -> String {
+    match &node.data {
+        Data::Str(s) => s.clone(),
+        Data::Int(i) => i.to_string(),
+        Data::Float(x) => x.to_string(),
+        Data::Bool(b) => b.to_string(),
+        _ => String::new(),
+    }
+}
+
+/// A plain scalar by the core schema of YAML 1.2.
+fn plain(text: &str) -> Data {
+    match text {
+        "" | "~" | "null" | "Null" | "NULL" => return Data::Null,
+        "true" | "True" | "TRUE" => return Data::Bool(true),
+        "false" | "False" | "FALSE" => return Data::Bool(false),
+        ".inf" | ".Inf" | ".INF" | "+.inf" => return Data::Float(f64::INFINITY),
+        "-.inf" | "-.Inf" | "-.INF" => return Data::Float(f64::NEG_INFINITY),
+        ".nan" | ".NaN" | ".NAN" => return Data::Float(f64::NAN),
+        _ => {}
+    }
+    let digits = text.strip_prefix(['+', '-']).unwrap_or(text);
+    if !digits.starts_with(|c: char| c.is_ascii_digit() || c == '.') {
+        return Data::Str(text.to_owned());
+    }
+    let radix = |prefix: &str, radix| text.strip_prefix(prefix).and_then(|d| i64::from_str_radix(d, radix).ok());
+    if let Some(n) = radix("0x", 16).or(radix("0o", 8)).or_else(|| text.parse().ok()) {
+        return Data::Int(n);
+    }
+    let number = digits.bytes().all(|b| b.is_ascii_digit() || matches!(b, b'.' | b'e' | b'E' | b'+' | b'-'));
+    match text.parse::<f64>() {
+        Ok(x) if number && digits != "." => Data::Float(x),
+        _ => Data::Str(text.to_owned()),
+    }
+}
--- a/crates/hopyoke-flow/src/engine.rs
+++ b/crates/hopyoke-flow/src/engine.rs
@@ -358,7 +358,7 @@
             Outcome::Ended(end) => body.job_ended(step, end, &r.head),
             Outcome::Never(why) => body.fail(step, &why, &r.head),
             // Even if this submission was certainly not executed, an earlier one may have been.
-            _ if winding_up => body.to_withdraw(step),
+            _ if winding_up => body.queue_withdrawal(step),
             Outcome::Taken if !body.next_try(step) => {
                 body.fail(step, "all its ids are taken by other jobs", &r.head);
             }
@@ -731,7 +731,7 @@
                 body.flight.remove(&step);
                 body.ready.push_front(step);
             }
-            Some(Flight::ToWithdraw) => body.to_withdraw(step),
+            Some(Flight::ToWithdraw) => body.queue_withdrawal(step),
             _ => return,
         }
         self.recount(run);
--- a/crates/hopyoke-flow/src/run.rs
+++ b/crates/hopyoke-flow/src/run.rs
@@ -360,13 +360,13 @@
         let open: Vec<StepNo> = self.flight.keys().copied().collect();
         for step in open {
             if matches!(self.flight[&step], Flight::Submitted | Flight::Unsure) {
-                self.to_withdraw(step);
+                self.queue_withdrawal(step);
             }
         }
     }
 
     /// A step in flight is to be withdrawn.
-    pub(crate) fn to_withdraw(&mut self, step: StepNo) {
+    pub(crate) fn queue_withdrawal(&mut self, step: StepNo) {
         self.flight.insert(step, Flight::ToWithdraw);
         self.withdrawals.push_back(step);
     }
--- a/crates/hopyoke-flow/tests/model/mod.rs
+++ b/crates/hopyoke-flow/tests/model/mod.rs
@@ -85,7 +85,7 @@
     Fetched(RunId, u64, Box<Option<Fetched>>),
     Submitted(RunId, u64, StepNo, Outcome),
     Withdrawn(RunId, u64, StepNo, Outcome),
-    Written(Action, Written),
+    Written(Box<Action>, Written),
 }
 
 struct Node {
@@ -464,7 +464,7 @@
                 let ops = pages.len() + usize::from(head.is_some()) + usize::from(*release);
                 assert!(ops <= self.txn_ops, "{ops} changes in a transaction");
                 if !fits {
-                    return Reply::Written(action.clone(), Written::Conflict);
+                    return Reply::Written(Box::new(action.clone()), Written::Conflict);
                 }
                 let mut changes = Vec::new();
                 for (p, _, page) in pages {
@@ -477,7 +477,7 @@
                     changes.push((format!("flow/hold/{run}"), None, None));
                 }
                 let mark = self.apply(changes);
-                Reply::Written(action.clone(), Written::Applied(mark))
+                Reply::Written(Box::new(action.clone()), Written::Applied(mark))
             }
         }
     }
@@ -578,7 +578,7 @@
                     Reply::Submitted(run, epoch, step, o) => e.submitted(run, epoch, step, o, now),
                     Reply::Withdrawn(run, epoch, step, o) => e.withdrawn(run, epoch, step, o, now),
                     Reply::Written(action, w) => {
-                        if let Action::Write { run, epoch, .. } = &action {
+                        if let Action::Write { run, epoch, .. } = &*action {
                             e.written(*run, *epoch, &action, w, now);
                         }
                     }
@@ -749,7 +749,7 @@
         Action::Submit { run, epoch, step, .. } => Reply::Submitted(*run, *epoch, *step, outcome()),
         Action::Withdraw { run, epoch, step, .. } => Reply::Withdrawn(*run, *epoch, *step, outcome()),
         Action::Write { .. } => {
-            Reply::Written(action.clone(), if unknown { Written::Unknown } else { Written::Refused })
+            Reply::Written(Box::new(action.clone()), if unknown { Written::Unknown } else { Written::Refused })
         }
     }
 }
