--- a/crates/hopyoke-core/src/job.rs
+++ b/crates/hopyoke-core/src/job.rs
@@ -25,6 +25,13 @@
     /// earlier versions lack this.
     #[serde(default)]
     pub marks_start: bool,
+    /// It is a step of a workflow's run, and no user's. Its id is not for users.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub flow: bool,
+}
+
+fn is_false(b: &bool) -> bool {
+    !*b
 }
 
 impl JobRecord {
@@ -36,9 +43,15 @@
             done: Ranges::default(),
             term: Attempt::default(),
             marks_start: true,
+            flow: false,
         }
     }
 
+    /// The record of a step's job.
+    pub fn of_flow(spec: JobSpec, accepted_us: u64) -> JobRecord {
+        JobRecord { flow: true, ..JobRecord::accepted(spec, accepted_us) }
+    }
+
     /// Some holder may have told a worker to start one of its tasks.
     pub fn may_have_started(&self) -> bool {
         self.term.0 != 0 || !self.marks_start
@@ -51,6 +64,18 @@
     pub state: JobState,
     #[serde(default)]
     pub done: u32,
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub flow: bool,
+    /// A step's job that kept failing: it was cancelled by the scheduler.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub given_up: bool,
+}
+
+impl EndRecord {
+    /// How a job ended, with so many tasks done.
+    pub fn new(state: JobState, done: u32) -> EndRecord {
+        EndRecord { state, done, flow: false, given_up: false }
+    }
 }
 
 /// A job that the leader looks after.
@@ -65,6 +90,9 @@
     /// An earlier holder may have started its tasks.
     pub inherited: bool,
     pub marks_start: bool,
+    pub flow: bool,
+    /// It kept failing and its end is to be recorded.
+    pub given_up: bool,
     pub done: Ranges,
     /// What the record says is done: only this may be reaped from workers.
     pub recorded: Ranges,
@@ -106,6 +134,8 @@
             mark,
             inherited,
             marks_start: record.marks_start,
+            flow: record.flow,
+            given_up: false,
             recorded: done.clone(),
             done,
             term: record.term,
@@ -132,6 +162,7 @@
             done: self.done.clone(),
             term: self.term,
             marks_start: self.marks_start,
+            flow: self.flow,
         }
     }
 
@@ -152,9 +183,21 @@
         self.spec.kind != JobKind::Service && self.done.count() == self.spec.tasks
     }
 
+    /// Its end is to be recorded.
+    pub fn is_over(&self) -> bool {
+        self.is_done() || self.given_up
+    }
+
     /// Something about it is not recorded yet.
     pub fn needs_write(&self) -> bool {
-        !self.writing && (self.done != self.recorded || self.term != self.recorded_term)
+        !self.writing && (self.done != self.recorded || self.term != self.recorded_term || self.given_up)
+    }
+
+    /// How it ended.
+    pub fn end(&self) -> EndRecord {
+        let state = if self.is_done() { JobState::Done } else { JobState::Cancelled };
+        let given_up = self.given_up && !self.is_done();
+        EndRecord { flow: self.flow, given_up, ..EndRecord::new(state, self.done.count().min(self.spec.tasks)) }
     }
 
     /// The record says that this attempt may be started. (A new leader takes a job without a
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -54,7 +54,9 @@
         let unbounded = !self.charge_unknown(&mut plan);
         for id in order {
             let Some(job) = self.jobs.get(&id) else { continue };
-            let why = if now < job.hold_until {
+            let why = if job.given_up {
+                "its end to be recorded"
+            } else if now < job.hold_until {
                 "its backoff"
             } else if (strange || unbounded) && self.limited(&job.spec.team) {
                 "recovery"
--- a/crates/hopyoke-core/src/records.rs
+++ b/crates/hopyoke-core/src/records.rs
@@ -1,11 +1,10 @@
 //! What must be written to the state service, in batches within half of its write rate.
 
 use super::batch::{Batch, BatchError, RegisterPage, Write};
-use super::job::{EndRecord, JobRecord};
+use super::job::JobRecord;
 use super::{Action, Config, Core};
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, Mark, Token};
-use hopyoke_wire::user::JobState;
 use std::collections::BTreeMap;
 
 pub(super) struct Writes {
@@ -98,7 +97,7 @@
             let since = *since.get_or_insert(now);
             let rank = if job.term != job.recorded_term {
                 0
-            } else if job.is_done() {
+            } else if job.is_over() {
                 1
             } else if (ample && now >= since + tuning.gather_least)
                 || (fair && now >= since + tuning.gather)
@@ -137,7 +136,7 @@
     fn draft_jobs(&mut self, draft: &mut Draft, jobs: Vec<(u8, JobId)>) {
         for (_, id) in jobs {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let end = job.is_done();
+            let end = job.is_over();
             let cost = if end { 2 } else { 1 };
             let size = 1500 + job.done.parts() * 14;
             if !draft.has_room(cost, size) {
@@ -146,8 +145,7 @@
             job.writing = true;
             self.writes.due.insert(id.clone(), None);
             let write = if end {
-                let end = EndRecord { state: JobState::Done, done: job.spec.tasks };
-                Write::End { job: id, mark: job.mark, end }
+                Write::End { job: id, mark: job.mark, end: job.end() }
             } else {
                 Write::Update { job: id, mark: job.mark, record: job.record() }
             };
@@ -207,7 +205,7 @@
                 }
                 Write::End { job: id, .. } => match &result {
                     Ok(_) => {
-                        tracing::debug!(job = %id, "done");
+                        tracing::debug!(job = %id, "over");
                         self.job_dropped(&id);
                     }
                     Err(e) => {
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -307,6 +307,12 @@
             job.hold_until = now + wait;
             let machines = job.failed_on.len();
             info!(job = %task.job, machines, wait_s = wait.as_secs_f64(), "backoff: job fails on several machines");
+            // Nobody watches a step as a user watches a job: its run is to hear that it failed.
+            if job.flow && job.backoffs as usize > self.tuning.step_patience {
+                info!(job = %task.job, "given up");
+                job.given_up = true;
+                self.writes.note(&task.job);
+            }
         }
         if let Some(m) = self.machines.get_mut(id)
             && !bad_job
--- a/crates/hopyoke-core/src/tuning.rs
+++ b/crates/hopyoke-core/src/tuning.rs
@@ -29,6 +29,8 @@
     pub drain_looks: usize,
     pub job_backoff: Micros,
     pub suspect_after: usize,
+    /// Backoffs after which a step of a workflow is given up.
+    pub step_patience: usize,
     pub machine_pause: Micros,
     pub faulty_after: usize,
     pub gather_least: Micros,
@@ -70,6 +72,7 @@
             drain_looks: 64,
             job_backoff: Micros::from_secs(10),
             suspect_after: 3,
+            step_patience: 4,
             machine_pause: Micros::from_secs(5),
             faulty_after: 2,
             gather_least: Micros::from_secs(1),
--- a/crates/hopyoke-flow/src/engine.rs
+++ b/crates/hopyoke-flow/src/engine.rs
@@ -127,6 +127,7 @@
     /// The team whose turn it was last.
     last_team: String,
     carried: usize,
+    steps_carried: usize,
     /// Runs with steps to withdraw; they take turns with submissions.
     withdrawing: BTreeSet<RunId>,
     /// The last turn was a withdrawal's.
@@ -164,6 +165,7 @@
             teams: BTreeMap::new(),
             last_team: String::new(),
             carried: 0,
+            steps_carried: 0,
             withdrawing: BTreeSet::new(),
             withdrew: false,
             due: BTreeSet::new(),
@@ -201,6 +203,13 @@
         }
     }
 
+    /// At this mark the run's head was no longer where unfinished runs are: it is over.
+    pub fn head_gone(&mut self, run: RunId, mark: Mark) {
+        if self.runs.get(&run).is_some_and(|r| mark > r.head_mark) {
+            self.over(run);
+        }
+    }
+
     /// A run was granted to a node.
     pub fn hold_seen(&mut self, run: RunId, node: &str, mark: Mark, now: Micros) {
         let Some(r) = self.runs.get_mut(&run) else { return };
@@ -283,8 +292,9 @@
                 r.refused_at = r.refused_at.max(held.unwrap_or_default());
                 r.held_at = r.held_at.max(r.refused_at);
                 r.failures += 1;
-                self.carried -= 1;
-                if r.may_claim() {
+                let may = r.may_claim();
+                self.put(run);
+                if may {
                     self.claim_later(run, now);
                 }
             }
@@ -512,6 +522,10 @@
         if ours != self.carried {
             faults.push(format!("{ours} runs are ours, not {}", self.carried));
         }
+        let steps: usize = self.runs.values().filter(|r| r.is_ours()).map(|r| r.head.steps as usize).sum();
+        if steps != self.steps_carried {
+            faults.push(format!("{steps} steps are ours, not {}", self.steps_carried));
+        }
         for (name, team) in &self.teams {
             let carried = self.runs.values().filter(|r| r.phase == Phase::Carrying && r.head.team == *name);
             let flying: usize = carried.filter_map(|r| r.body.as_ref()).map(|b| b.flight.len()).sum();
@@ -557,16 +571,27 @@
         if r.phase != Phase::Elsewhere || !r.may_claim() {
             return;
         }
-        if self.carried >= self.limits.runs_carried {
+        let steps = self.steps_carried + r.head.steps as usize;
+        if self.carried >= self.limits.runs_carried || (self.carried > 0 && steps > self.limits.steps_carried) {
             // Others may have room; if none has, some run of ours will end.
             self.due.insert((now + self.limits.claim_gap.max(Micros::from_secs(1)), run, Due::Claim));
             return;
         }
         r.phase = Phase::Claiming;
-        self.carried += 1;
+        self.take(run);
         self.actions.push_back(Action::Claim { run });
     }
 
+    fn take(&mut self, run: RunId) {
+        self.carried += 1;
+        self.steps_carried += self.runs.get(&run).map_or(0, |r| r.head.steps as usize);
+    }
+
+    fn put(&mut self, run: RunId) {
+        self.carried -= 1;
+        self.steps_carried -= self.runs.get(&run).map_or(0, |r| r.head.steps as usize);
+    }
+
     /// Another node has it, or nobody: whatever was asked in its name is stale.
     fn give_up(&mut self, run: RunId, now: Micros) {
         self.leave(run);
@@ -575,7 +600,7 @@
         r.phase = Phase::Elsewhere;
         r.grant = Mark(0);
         r.news.clear();
-        self.carried -= 1;
+        self.put(run);
         // Our own grant may stand for a while yet; its end is news.
         self.claim_later(run, now);
     }
@@ -601,7 +626,7 @@
     fn over(&mut self, run: RunId) {
         let Some(r) = self.runs.get(&run) else { return };
         if r.is_ours() {
-            self.carried -= 1;
+            self.put(run);
         }
         self.leave(run);
         let name = self.runs.remove(&run).map(|r| r.head.team).unwrap_or_default();
@@ -786,10 +811,11 @@
                 return;
             }
         }
-        let room = self.txn_ops.saturating_sub(2).max(1);
+        // The head may move, and the grant go with it: three changes.
+        let room = self.txn_ops.saturating_sub(3).max(1);
         let pages: Vec<u32> = body.dirty.iter().copied().take(room).collect();
         let last = pages.len() == body.dirty.len();
-        let cost = pages.len() as f64 + if ends { 2.0 } else { 1.0 };
+        let cost = pages.len() as f64 + if ends && last { 3.0 } else { 1.0 };
         if !self.writes.take(cost, self.limits.writes_per_s, now) {
             let at = self.writes.when(cost, self.limits.writes_per_s, now) + Micros(1000);
             self.due.insert((at, run, Due::Gather));
--- a/crates/hopyoke-flow/src/limits.rs
+++ b/crates/hopyoke-flow/src/limits.rs
@@ -11,6 +11,8 @@
     pub team_steps_in_flight: usize,
     /// Runs that this node carries at once.
     pub runs_carried: usize,
+    /// Steps of all runs that this node carries; one run may have more. Bounds memory.
+    pub steps_carried: usize,
     /// Writes a second that runs may take: submissions, progress and ends.
     pub writes_per_s: f64,
     /// Requests a second that reading may take when runs are taken over.
@@ -30,6 +32,7 @@
             steps_in_flight: 64,
             team_steps_in_flight: 256,
             runs_carried: 500,
+            steps_carried: 50_000,
             writes_per_s: 5.0,
             reads_per_s: 10.0,
             gather: Micros::from_secs(2),
--- a/crates/hopyoke-flow/src/record.rs
+++ b/crates/hopyoke-flow/src/record.rs
@@ -41,8 +41,8 @@
     }
 }
 
-/// A run's head, under `flow/head/RUN`. Its mark changes when the run's state does, and only then:
-/// submissions are conditional on it.
+/// A run's head, under `flow/head/RUN`, and under `flowend/RUN` once its state is final. Its mark
+/// changes when the run's state does, and only then: submissions are conditional on it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
     /// What the submitter calls it.
@@ -72,6 +72,9 @@
     /// It goes on from what this run had done.
     #[serde(default)]
     pub resumes: Option<RunId>,
+    /// The run under whose id the plan's pages stand, if that is another.
+    #[serde(default)]
+    pub plan_of: Option<RunId>,
     /// What the submitter wants to be told again.
     #[serde(default)]
     pub tags: BTreeMap<String, String>,
@@ -94,6 +97,7 @@
             reason: String::new(),
             done: 0,
             resumes: None,
+            plan_of: None,
             tags: BTreeMap::new(),
         }
     }
@@ -103,6 +107,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hold {
     pub node: String,
+    /// The carrier's lease: tells a process from an earlier one of its node.
+    pub lease: u64,
 }
 
 /// What is recorded of one step.
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -654,7 +654,7 @@
                 return;
             }
             let Some(mark) = w.store.keys.get(&key).map(|e| e.mark) else { return };
-            let end = EndRecord { state: JobState::Cancelled, done: 0 };
+            let end = EndRecord::new(JobState::Cancelled, 0);
             let apply = vec![Change::Drop(key.clone()), Change::Put(format!("end/{id}"), Value::End(end), None)];
             if w.store.txn(&[(key, mark)], apply).is_ok() {
                 w.send(Host::State, Host::Node(i), move |w| {
--- a/crates/hopyoke/src/api.rs
+++ b/crates/hopyoke/src/api.rs
@@ -2,13 +2,14 @@
 
 use crate::links::{ASK_LEADER, ASK_PEER};
 use crate::node::Node;
-use crate::state::{StateError, TxnEnd, end_key, job_key};
+use crate::records::{self, Lookup, lookup};
+use crate::state::{StateError, TxnEnd};
 use hopyoke_core::{EndRecord, JobRecord, never_runs};
 use hopyoke_runtime as runtime;
 use hopyoke_runtime::http::{Method, Request, Response};
+use hopyoke_types::JobId;
 use hopyoke_types::Micros;
-use hopyoke_types::{JobId, Mark};
-use hopyoke_wire::state::{Change, Condition, Stored};
+use hopyoke_wire::state::Stored;
 use hopyoke_wire::user::{JobAnswer, JobSpec, JobState};
 use serde::Serialize;
 use std::rc::Rc;
@@ -111,36 +112,6 @@
     })
 }
 
-/// A job's record, wherever it is.
-enum Lookup {
-    Unfinished(Stored<JobRecord>, Mark),
-    Finished(EndRecord),
-    Unreadable,
-    Missing,
-}
-
-/// Reads a job's record. A record only ever moves from `job/` to `end/`, so reading in this order
-/// can't miss it; only then is it truly missing. (Guards `forgotten` and `invented`.)
-async fn lookup(node: &Node, id: &JobId) -> Result<Lookup, StateError> {
-    if let Some(end) = node.finals.get(id) {
-        return Ok(Lookup::Finished(end));
-    }
-    if let Some((record, mark)) = node.state.get::<JobRecord>(&job_key(id)).await? {
-        return Ok(Lookup::Unfinished(record, mark));
-    }
-    Ok(match node.state.get::<EndRecord>(&end_key(id)).await? {
-        Some((Stored::Value(end), _)) => {
-            node.finals.add(id, end);
-            Lookup::Finished(end)
-        }
-        Some((Stored::Unreadable(_), _)) => {
-            warn!(job = %id, "unreadable final record");
-            Lookup::Unreadable
-        }
-        None => Lookup::Missing,
-    })
-}
-
 fn finished(id: &JobId, end: EndRecord) -> Response {
     let done = (end.state == JobState::Done).then_some(end.done);
     Response::of(200, &JobAnswer { id: id.as_str(), state: end.state, done, running: done.map(|_| 0) })
@@ -209,40 +180,23 @@
     })
 }
 
-/// Tells the leader, in the background, that a job was accepted or cancelled here.
-fn nudge(node: &Rc<Node>, id: &JobId) {
-    if node.leading().is_some() {
-        return;
-    }
-    let (node, id) = (node.clone(), id.clone());
-    runtime::spawn_until(node.cancel.clone(), async move {
-        let leader = node.leader.borrow().clone();
-        if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) {
-            link.nudge(&node.settings.node, &id).await;
-        }
-    });
-}
-
 /// Accepts a job: a write on the condition that there is no record of it, answered only once it
 /// is committed.
 async fn accept(node: &Rc<Node>, spec: JobSpec) -> Result<Response, StateError> {
     let id = spec.id.clone();
-    if let Some(end) = node.finals.get(&id) {
+    if let Some(end) = node.finals.get(&id).filter(|e| !e.flow) {
         return Ok(finished(&id, end));
     }
     let record = JobRecord::accepted(spec, runtime::time_of_day().0);
-    let conditions =
-        vec![Condition { key: job_key(&id), mark: Mark(0) }, Condition { key: end_key(&id), mark: Mark(0) }];
-    let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
-    match node.state.txn(conditions, changes).await? {
+    match records::accept(node, record, Vec::new()).await? {
         TxnEnd::Applied(_) => {
-            nudge(node, &id);
             let answer = JobAnswer { id: id.as_str(), state: JobState::Queued, done: None, running: None };
             Ok(Response::of(201, &answer))
         }
         TxnEnd::Failed(_) => match lookup(node, &id).await? {
             // It can't have vanished: the user is to ask again.
             Lookup::Missing => Ok(later("the job's record changed meanwhile")),
+            found if found.is_flow() => Ok(problem(422, "the id is that of a workflow's step")),
             found => Ok(answer(node, &id, found)),
         },
     }
@@ -250,31 +204,9 @@
 
 /// Cancels a job: its record moves to its final place, or the final state that it has is told.
 async fn cancel(node: &Rc<Node>, id: &JobId) -> Result<Response, StateError> {
-    let started = runtime::now();
-    loop {
-        let (record, mark) = match lookup(node, id).await? {
-            Lookup::Unfinished(record, mark) => (record.readable(), mark),
-            found => return Ok(answer(node, id, found)),
-        };
-        let done = record.map_or(0, |r| r.done.count());
-        let end = EndRecord { state: JobState::Cancelled, done };
-        let conditions = vec![Condition { key: job_key(id), mark }, Condition { key: end_key(id), mark: Mark(0) }];
-        let changes =
-            vec![Change::Drop { key: job_key(id) }, Change::Put { key: end_key(id), value: end, lease: None }];
-        match node.state.txn(conditions, changes).await? {
-            TxnEnd::Applied(_) => {
-                node.finals.add(id, end);
-                node.promises.note_cancelled(id);
-                nudge(node, id);
-                if let Some(leading) = node.leading() {
-                    leading.core.borrow_mut().job_dropped(id);
-                    leading.bell.ring();
-                }
-                return Ok(finished(id, end));
-            }
-            // Its record changed meanwhile, by the leader's progress most likely.
-            TxnEnd::Failed(_) if runtime::now() < started + Micros::from_secs(2) => {}
-            TxnEnd::Failed(_) => return Ok(later("the job's record keeps changing")),
-        }
-    }
+    Ok(match records::cancel(node, id).await? {
+        Some(Lookup::Finished(end)) => finished(id, end),
+        Some(found) => answer(node, id, found),
+        None => later("the job's record keeps changing"),
+    })
 }
--- /dev/null
+++ b/crates/hopyoke/src/flows.rs
@@ -0,0 +1,474 @@
+//! Carrying runs of workflows: the engine's events come from two watches and a lease, its actions
+//! go to the state service, a few at a time.
+
+use crate::node::{Flows, Node};
+use crate::records::{self, Lookup, lookup};
+use crate::state::{
+    FLOW_HEADS, FLOW_HOLDS, FLOWS, StateError, TxnEnd, flow_end_key, flow_hold_key, flow_key, flow_page_key,
+    flow_page_prefix, flow_plan_prefix,
+};
+use hopyoke_core::{EndRecord, JobRecord, never_runs};
+use hopyoke_flow::{
+    Action, Fetched, Head, Hold, JobEnd, Outcome, Plan, PlanPage, RESERVED, RunId, StepPage, Written, job_prefix,
+};
+use hopyoke_runtime as runtime;
+use hopyoke_types::{JobId, Mark, Micros};
+use hopyoke_wire::state::{Change, Condition, Events, Pair, Stored};
+use hopyoke_wire::user::{JobSpec, JobState};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use tracing::{debug, warn};
+
+/// Actions under way at once: requests to the state service share a bounded pool with all else.
+const MOST_BUSY: usize = 8;
+/// Longest wait of a watch.
+const WATCH: Micros = Micros::from_secs(10);
+/// How long a carrier's grants outlive it.
+const TTL: Micros = Micros::from_secs(8);
+
+/// What is under `flow/`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+pub(crate) enum Value {
+    Head(Box<Head>),
+    Hold(Hold),
+    Page(StepPage),
+    Plan(PlanPage),
+}
+
+/// Starts the routines, if this node takes part.
+pub fn start(node: &Rc<Node>) {
+    if node.flows.is_some() {
+        runtime::spawn_until(node.cancel.clone(), keep_lease(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), watch_runs(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), watch_ends(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), drive(node.clone()));
+    }
+}
+
+/// Every routine of this module runs only where runs are carried.
+fn of(node: &Node) -> &Flows {
+    node.flows.as_ref().expect("started only with it")
+}
+
+/// Hands the engine's actions out.
+async fn drive(node: Rc<Node>) {
+    let flows = of(&node);
+    loop {
+        let now = runtime::now();
+        flows.engine.borrow_mut().tick(now);
+        while flows.busy.get() < MOST_BUSY {
+            let Some(action) = flows.engine.borrow_mut().next_action() else { break };
+            flows.busy.set(flows.busy.get() + 1);
+            let node = node.clone();
+            runtime::spawn_until(node.cancel.clone(), async move {
+                execute(&node, action).await;
+                let flows = of(&node);
+                flows.busy.set(flows.busy.get() - 1);
+                flows.bell.ring();
+            });
+        }
+        let due = flows.engine.borrow().next_due(now).max(now + Micros::from_millis(1));
+        flows.bell.wait_until(due).await;
+    }
+}
+
+/// Keeps the lease on which this node's grants are.
+async fn keep_lease(node: Rc<Node>) {
+    let flows = of(&node);
+    loop {
+        match flows.lease.get() {
+            None => match node.state.grant(TTL).await {
+                Ok(lease) => flows.lease.set(Some(lease)),
+                Err(e) => debug!(error = %e, "no lease for runs"),
+            },
+            Some(lease) => match node.state.renew(lease, Micros::from_millis(1500)).await {
+                Ok(()) => {}
+                Err(StateError::Gone) => {
+                    warn!("the lease on which this node carries runs is gone");
+                    flows.lease.set(None);
+                    flows.engine.borrow_mut().lease_lost(runtime::now());
+                    flows.bell.ring();
+                    continue;
+                }
+                Err(e) => debug!(error = %e, "lease for runs not renewed"),
+            },
+        }
+        runtime::sleep(Micros(TTL.0 / 4)).await;
+    }
+}
+
+fn run_of(key: &str, prefix: &str) -> Option<RunId> {
+    RunId::parse(key.strip_prefix(prefix)?)
+}
+
+/// Learns of runs, cancellations and grants.
+async fn watch_runs(node: Rc<Node>) {
+    let flows = of(&node);
+    let mut since = None;
+    loop {
+        let Some(from) = since else {
+            match node.state.list::<Value>(FLOWS).await {
+                Ok((pairs, revision)) => {
+                    all_seen(&node, pairs, Mark(revision));
+                    since = Some(revision);
+                }
+                Err(e) => {
+                    debug!(error = %e, "runs not listed");
+                    runtime::sleep(Micros::from_millis(700)).await;
+                }
+            }
+            continue;
+        };
+        let result: Result<Events<Value>, _> = node.state.changes(FLOWS, from, WATCH).await;
+        match result {
+            Ok(events) => {
+                since = Some(events.revision.max(from));
+                let any = !events.events.is_empty();
+                for e in events.events {
+                    if let Some(key) = e.drop {
+                        dropped(&node, &key, e.mark);
+                    } else if let (Some(key), Some(Stored::Value(value))) = (e.put, e.value) {
+                        seen(&node, &key, value, e.mark);
+                    }
+                }
+                if any {
+                    flows.bell.ring();
+                }
+            }
+            Err(StateError::Gone) => since = None,
+            Err(e) => {
+                debug!(error = %e, "watch of runs failed");
+                runtime::sleep(Micros::from_millis(300)).await;
+            }
+        }
+    }
+}
+
+fn seen(node: &Node, key: &str, value: Value, mark: Mark) {
+    let now = runtime::now();
+    let mut engine = of(node).engine.borrow_mut();
+    match value {
+        Value::Head(head) => {
+            if let Some(run) = run_of(key, FLOW_HEADS) {
+                engine.head_seen(run, *head, mark, now);
+            }
+        }
+        Value::Hold(hold) => {
+            if let Some(run) = run_of(key, FLOW_HOLDS) {
+                engine.hold_seen(run, &hold.node, mark, now);
+            }
+        }
+        _ => warn!(key, "neither a run's head nor a grant"),
+    }
+}
+
+fn dropped(node: &Node, key: &str, mark: Mark) {
+    let mut engine = of(node).engine.borrow_mut();
+    if let Some(run) = run_of(key, FLOW_HOLDS) {
+        engine.hold_gone(run, mark, runtime::now());
+    } else if let Some(run) = run_of(key, FLOW_HEADS) {
+        engine.head_gone(run, mark);
+    }
+}
+
+/// All runs and grants as of a revision: what is not among them is gone.
+fn all_seen(node: &Node, pairs: Vec<Pair<Value>>, revision: Mark) {
+    let mut heads = BTreeSet::new();
+    let mut holds = BTreeSet::new();
+    for p in pairs {
+        heads.extend(run_of(&p.key, FLOW_HEADS));
+        holds.extend(run_of(&p.key, FLOW_HOLDS));
+        match p.value {
+            Stored::Value(v) => seen(node, &p.key, v, p.mark),
+            Stored::Unreadable(_) => warn!(key = %p.key, "unreadable record of a run"),
+        }
+    }
+    let flows = of(node);
+    let mut engine = flows.engine.borrow_mut();
+    let known: Vec<RunId> = engine.runs().map(|(run, ..)| run).collect();
+    for run in known {
+        if !heads.contains(&run) {
+            engine.head_gone(run, revision);
+        } else if !holds.contains(&run) {
+            engine.hold_gone(run, revision, runtime::now());
+        }
+    }
+    engine.news_lost(runtime::now());
+    flows.bell.ring();
+}
+
+/// Learns of the ends of steps' jobs, and of no others.
+async fn watch_ends(node: Rc<Node>) {
+    let flows = of(&node);
+    let prefix = format!("end/{RESERVED}");
+    let mut since: Option<u64> = None;
+    loop {
+        let from = match since {
+            Some(s) => s,
+            // What came before is read with each run's records.
+            None => match node.state.page::<EndRecord>(&prefix, None, 1).await {
+                Ok(page) => {
+                    flows.engine.borrow_mut().news_lost(runtime::now());
+                    page.revision
+                }
+                Err(_) => {
+                    runtime::sleep(Micros::from_millis(700)).await;
+                    continue;
+                }
+            },
+        };
+        since = Some(from);
+        let result: Result<Events<EndRecord>, _> = node.state.changes(&prefix, from.max(1), WATCH).await;
+        match result {
+            Ok(events) => {
+                since = Some(events.revision.max(from));
+                let now = runtime::now();
+                let mut engine = flows.engine.borrow_mut();
+                for e in events.events {
+                    if let (Some(key), Some(Stored::Value(end))) = (e.put, e.value)
+                        && let Some(job) = key.strip_prefix("end/").and_then(JobId::parse)
+                        && end.flow
+                    {
+                        engine.job_ended(&job, how(end), now);
+                    }
+                }
+                drop(engine);
+                flows.bell.ring();
+            }
+            Err(StateError::Gone) => since = None,
+            Err(_) => runtime::sleep(Micros::from_millis(300)).await,
+        }
+    }
+}
+
+fn how(end: EndRecord) -> JobEnd {
+    match end.state {
+        JobState::Done => JobEnd::Done,
+        _ if end.given_up => JobEnd::GivenUp,
+        _ => JobEnd::Cancelled,
+    }
+}
+
+async fn execute(node: &Rc<Node>, action: Action) {
+    let flows = of(node);
+    match &action {
+        Action::Claim { run } => {
+            let result = claim(node, *run).await;
+            flows.engine.borrow_mut().claimed(*run, result, runtime::now());
+        }
+        Action::Fetch { run, epoch, plan } => {
+            let fetched = match fetch(node, *run, *plan).await {
+                Ok(f) => f,
+                Err(e) => {
+                    debug!(%run, error = %e, "records not read");
+                    None
+                }
+            };
+            flows.engine.borrow_mut().fetched(*run, *epoch, fetched, runtime::now());
+        }
+        Action::Submit { run, epoch, step, spec, grant, head } => {
+            let outcome = submit(node, *run, spec, *grant, *head).await.unwrap_or_else(|e| not_known(&e));
+            flows.engine.borrow_mut().submitted(*run, *epoch, *step, outcome, runtime::now());
+        }
+        Action::Withdraw { run, epoch, step, job } => {
+            let outcome = match records::cancel(node, job).await {
+                Ok(Some(Lookup::Finished(end))) if end.flow => Outcome::Ended(how(end)),
+                Ok(Some(Lookup::Missing)) => Outcome::Missing,
+                Ok(Some(Lookup::Finished(_))) => Outcome::Taken,
+                Ok(_) => Outcome::Unknown,
+                Err(e) => not_known(&e),
+            };
+            flows.engine.borrow_mut().withdrawn(*run, *epoch, *step, outcome, runtime::now());
+        }
+        Action::Write { run, epoch, grant, pages, head, release } => {
+            let written = write(node, *run, *grant, pages, head.as_ref(), *release).await;
+            flows.engine.borrow_mut().written(*run, *epoch, &action, written, runtime::now());
+        }
+    }
+}
+
+fn not_known(e: &StateError) -> Outcome {
+    match e {
+        StateError::Refused(_) => Outcome::Later(Micros::from_millis(500)),
+        _ => Outcome::Unknown,
+    }
+}
+
+async fn claim(node: &Node, run: RunId) -> Result<Mark, Option<Mark>> {
+    let Some(lease) = of(node).lease.get() else { return Err(None) };
+    let hold = Hold { node: node.settings.node.clone(), lease };
+    let key = flow_hold_key(run);
+    // A run that is over is not claimed: its head must still be there.
+    let head = match node.state.get::<Value>(&flow_key(run)).await {
+        Ok(Some((_, mark))) => mark,
+        _ => return Err(None),
+    };
+    let conditions =
+        vec![Condition { key: key.clone(), mark: Mark(0) }, Condition { key: flow_key(run), mark: head }];
+    let changes = vec![Change::Put { key: key.clone(), value: hold.clone(), lease: Some(lease) }];
+    match node.state.txn(conditions, changes).await {
+        Ok(TxnEnd::Applied(mark)) => Ok(mark),
+        Ok(TxnEnd::Failed(_)) => match node.state.get::<Hold>(&key).await {
+            // An earlier try of this very process went through.
+            Ok(Some((Stored::Value(h), mark))) if h == hold => Ok(mark),
+            Ok(Some((_, mark))) => Err(Some(mark)),
+            _ => Err(None),
+        },
+        Err(_) => Err(None),
+    }
+}
+
+/// Reads a run's head, wherever it is: a head only ever moves from `flow/head/` to `flowend/`.
+pub(crate) async fn head_of(node: &Node, run: RunId) -> Result<Option<(Head, Mark)>, StateError> {
+    for key in [flow_key(run), flow_end_key(run)] {
+        match node.state.get::<Head>(&key).await? {
+            Some((Stored::Value(head), mark)) => return Ok(Some((head, mark))),
+            Some((Stored::Unreadable(_), _)) => {
+                warn!(%run, "unreadable head");
+                return Err(StateError::Malformed("a run's head".into()));
+            }
+            None => {}
+        }
+    }
+    Ok(None)
+}
+
+/// The pages of a run's progress.
+pub(crate) async fn pages_of(node: &Node, run: RunId) -> Result<Vec<(u32, Mark, StepPage)>, StateError> {
+    let prefix = flow_page_prefix(run);
+    let (pairs, _) = node.state.list::<StepPage>(&prefix).await?;
+    let page = |p: Pair<StepPage>| {
+        let number = p.key.strip_prefix(&prefix)?.parse().ok()?;
+        // An unreadable page is no knowledge; the jobs' own records tell.
+        Some((number, p.mark, p.value.readable().unwrap_or_default()))
+    };
+    Ok(pairs.into_iter().filter_map(page).collect())
+}
+
+/// A run's plan, if all its pages can be read.
+pub(crate) async fn plan_of(node: &Node, run: RunId, head: &Head) -> Result<Option<Plan>, StateError> {
+    let (pairs, _) = node.state.list::<PlanPage>(&flow_plan_prefix(head.plan_of.unwrap_or(run))).await?;
+    let pages: Option<Vec<PlanPage>> = pairs.into_iter().map(|p| p.value.readable()).collect();
+    Ok(pages.filter(|p| p.len() == head.plan_pages as usize).map(Plan::of_pages))
+}
+
+async fn fetch(node: &Node, run: RunId, plan: bool) -> Result<Option<Fetched>, StateError> {
+    let grant = node.state.get::<Hold>(&flow_hold_key(run)).await?.map(|(_, mark)| mark);
+    let Some((head, head_mark)) = head_of(node, run).await? else { return Ok(None) };
+    let plan = if plan && !head.state.is_final() {
+        match plan_of(node, run, &head).await? {
+            Some(plan) => Some(plan),
+            None => return Ok(None),
+        }
+    } else {
+        None
+    };
+    let pages = pages_of(node, run).await?;
+    // Unfinished jobs first: a record only ever moves to the ended ones.
+    let prefix = job_prefix(run);
+    let (jobs, _) = node.state.list::<JobRecord>(&format!("job/{prefix}")).await?;
+    let (ends, _) = node.state.list::<EndRecord>(&format!("end/{prefix}")).await?;
+    let id = |key: &str| JobId::parse(key.split_once('/')?.1);
+    Ok(Some(Fetched {
+        head,
+        head_mark,
+        grant,
+        plan,
+        pages,
+        jobs: jobs
+            .iter()
+            .filter_map(|p| Some((id(&p.key)?, matches!(&p.value, Stored::Value(r) if r.flow))))
+            .collect(),
+        ends: ends
+            .iter()
+            .filter_map(|p| match &p.value {
+                Stored::Value(e) => Some((id(&p.key)?, how(*e), e.flow)),
+                Stored::Unreadable(_) => None,
+            })
+            .collect(),
+    }))
+}
+
+/// Accepts a step's job as a user's is accepted, and on the condition that its run goes on.
+async fn submit(
+    node: &Rc<Node>,
+    run: RunId,
+    spec: &JobSpec,
+    grant: Mark,
+    head: Mark,
+) -> Result<Outcome, StateError> {
+    let never = {
+        let types = node.catalog.borrow();
+        if types.is_empty() {
+            return Ok(Outcome::Later(Micros::from_secs(1)));
+        }
+        never_runs(spec, &types, &node.config.zones, &node.config.teams)
+    };
+    if let Some(why) = never {
+        // An accepted job stays accepted, whatever the catalog says now.
+        return Ok(match lookup(node, &spec.id).await? {
+            Lookup::Missing => Outcome::Never(why),
+            found => known(&found),
+        });
+    }
+    let record = JobRecord::of_flow(spec.clone(), runtime::time_of_day().0);
+    let more =
+        vec![Condition { key: flow_hold_key(run), mark: grant }, Condition { key: flow_key(run), mark: head }];
+    Ok(match records::accept(node, record, more).await? {
+        TxnEnd::Applied(_) => Outcome::Accepted,
+        // The three-way check: what does the job's own record say?
+        TxnEnd::Failed(_) => match lookup(node, &spec.id).await? {
+            Lookup::Missing => Outcome::Stale,
+            found => known(&found),
+        },
+    })
+}
+
+fn known(found: &Lookup) -> Outcome {
+    match found {
+        Lookup::Finished(end) if end.flow => Outcome::Ended(how(*end)),
+        Lookup::Unfinished(Stored::Value(r), _) if r.flow => Outcome::Known,
+        Lookup::Missing | Lookup::Unreadable | Lookup::Unfinished(Stored::Unreadable(_), _) => Outcome::Unknown,
+        _ => Outcome::Taken,
+    }
+}
+
+async fn write(
+    node: &Node,
+    run: RunId,
+    grant: Mark,
+    pages: &[(u32, Mark, StepPage)],
+    head: Option<&(Mark, Head)>,
+    release: bool,
+) -> Written {
+    let mut conditions = vec![Condition { key: flow_hold_key(run), mark: grant }];
+    let mut changes = Vec::new();
+    for (page, mark, value) in pages {
+        let key = flow_page_key(run, *page);
+        conditions.push(Condition { key: key.clone(), mark: *mark });
+        changes.push(Change::Put { key, value: Value::Page(value.clone()), lease: None });
+    }
+    if let Some((mark, head)) = head {
+        conditions.push(Condition { key: flow_key(run), mark: *mark });
+        let mut head = head.clone();
+        let key = if head.state.is_final() {
+            head.ended_us = runtime::time_of_day().0;
+            changes.push(Change::Drop { key: flow_key(run) });
+            flow_end_key(run)
+        } else {
+            flow_key(run)
+        };
+        changes.push(Change::Put { key, value: Value::Head(Box::new(head)), lease: None });
+    }
+    if release {
+        changes.push(Change::Drop { key: flow_hold_key(run) });
+    }
+    match node.state.txn(conditions, changes).await {
+        Ok(TxnEnd::Applied(mark)) => Written::Applied(mark),
+        Ok(TxnEnd::Failed(_)) => Written::Conflict,
+        Err(StateError::Refused(_)) => Written::Refused,
+        Err(_) => Written::Unknown,
+    }
+}
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`serve`]: starts a node's routines and routes requests.
 //! - [`mesh`]: answers peers and operators.
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
+//! - [`flow_calls`], [`flows`]: clients' calls about runs of workflows, and carrying them.
+//! - [`records`]: jobs' records as any node reads and changes them.
 //! - [`questions`]: operators' questions about run times.
 //! - [`tuning`]: the operators' settings and the core's tuning.
 //! - [`node`]: what the routines of one node share.
@@ -15,12 +17,15 @@
 pub mod api;
 pub mod cloud;
 pub mod finals;
+pub mod flow_calls;
+pub mod flows;
 pub mod lead;
 pub mod links;
 pub mod mesh;
 pub mod node;
 pub mod promises;
 pub mod questions;
+pub mod records;
 pub mod serve;
 pub mod state;
 pub mod status;
--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -6,7 +6,10 @@
 use hopyoke_types::{JobId, Micros};
 use hyper::body::Incoming;
 use proto::mesh_client::MeshClient;
-use proto::{Greeting, HistoryAnswer, HistoryRequest, News, StatusRequest, UserRequest, WhenAnswer, WhenRequest};
+use proto::{
+    FlowAnswer, FlowRequest, Greeting, HistoryAnswer, HistoryRequest, News, StatusRequest, UserRequest,
+    WhenAnswer, WhenRequest,
+};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -56,6 +59,8 @@
 
 const CONNECT: Micros = Micros::from_millis(700);
 pub(crate) const GREET: Micros = Micros::from_millis(900);
+/// Writing a plan's pages takes its time.
+const FLOW: Micros = Micros::from_secs(20);
 /// A greeting or its lack counts for this long.
 const FRESH: Micros = Micros::from_millis(2_500);
 /// Most of the window in which a user waits for an answer to a poll is kept for our own try.
@@ -201,15 +206,21 @@
 
 /// Makes one call for an operator.
 async fn ask<T, F, G>(addr: SocketAddr, f: F) -> io::Result<T>
+where
+    F: FnOnce(MeshClient<Channel>) -> G,
+    G: Future<Output = Result<tonic::Response<T>, Status>>,
+{
+    ask_within(addr, Micros::from_secs(3), f).await
+}
+
+async fn ask_within<T, F, G>(addr: SocketAddr, limit: Micros, f: F) -> io::Result<T>
 where
     F: FnOnce(MeshClient<Channel>) -> G,
     G: Future<Output = Result<tonic::Response<T>, Status>>,
 {
     let cancel = Cancel::new();
     let client = MeshClient::new(connect(addr, &cancel).await?);
-    let answer = runtime::timeout(Micros::from_secs(3), f(client))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    let answer = runtime::timeout(limit, f(client)).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
     answer.map(tonic::Response::into_inner).map_err(io::Error::other)
 }
 
@@ -221,6 +232,14 @@
     Ok(ask(addr, |mut c| async move { c.status(StatusRequest {}).await }).await?.text)
 }
 
+/// Asks about a run of a workflow, or for one.
+///
+/// # Errors
+/// Why there is no answer; it may have been carried out all the same.
+pub async fn ask_flow(addr: SocketAddr, request: FlowRequest) -> io::Result<FlowAnswer> {
+    ask_within(addr, FLOW, |mut c| async move { c.flow(request).await }).await
+}
+
 /// Asks when a job will be over, or GPUs will be free.
 ///
 /// # Errors
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -5,8 +5,8 @@
 //! the rules hold all the same.
 
 use crate::links::proto::mesh_server::{Mesh, MeshServer};
+use crate::links::proto::{FlowAnswer, FlowRequest, UserAnswer, UserRequest, WhenAnswer, WhenRequest};
 use crate::links::proto::{Greeting, HistoryAnswer, HistoryRequest, News, StatusAnswer, StatusRequest};
-use crate::links::proto::{UserAnswer, UserRequest, WhenAnswer, WhenRequest};
 use crate::links::{GREET, LocalExec};
 use crate::node::{Leading, Node};
 use crate::questions;
@@ -78,6 +78,7 @@
     Status(oneshot::Sender<String>),
     When(WhenRequest, oneshot::Sender<WhenAnswer>),
     History(HistoryRequest, oneshot::Sender<HistoryAnswer>),
+    Flow(FlowRequest, oneshot::Sender<FlowAnswer>),
 }
 
 /// tonic wants handlers that can be sent between threads; ours hand each call to a local routine.
@@ -116,6 +117,9 @@
     async fn history(&self, r: tonic::Request<HistoryRequest>) -> Result<tonic::Response<HistoryAnswer>, Status> {
         self.pass(|reply| Call::History(r.into_inner(), reply)).await
     }
+    async fn flow(&self, r: tonic::Request<FlowRequest>) -> Result<tonic::Response<FlowAnswer>, Status> {
+        self.pass(|reply| Call::Flow(r.into_inner(), reply)).await
+    }
 }
 
 struct HyperService(MeshServer<Door>);
@@ -215,5 +219,8 @@
         Call::History(request, reply) => {
             let _ = reply.send(questions::history(node, request).await);
         }
+        Call::Flow(request, reply) => {
+            let _ = reply.send(crate::flow_calls::answer(node, request).await);
+        }
     }
 }
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -7,6 +7,7 @@
 use crate::state::State;
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Config, Core};
+use hopyoke_flow::{Engine, Limits};
 use hopyoke_policy::Policy;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_settings::Settings;
@@ -32,9 +33,24 @@
     pub promises: Promises,
     pub finals: Finals,
     pub links: Links,
+    /// Runs of workflows, if this node takes part.
+    pub flows: Option<Flows>,
     pub cancel: Cancel,
 }
 
+/// What a node has to carry runs of workflows.
+pub struct Flows {
+    pub engine: RefCell<Engine>,
+    /// Rung when the engine has something to do.
+    pub bell: Bell,
+    /// The lease on which this node's grants are.
+    pub lease: Cell<Option<u64>>,
+    /// Actions under way.
+    pub busy: Cell<usize>,
+    /// Plan pages may be written again from then on.
+    pub pages_from: Cell<Micros>,
+}
+
 /// What a leading node has.
 pub struct Leading {
     pub core: RefCell<Core>,
@@ -85,8 +101,23 @@
 }
 
 impl Node {
-    pub fn new(settings: Settings, policy: Policy) -> Node {
+    /// `flows`: what runs of workflows may take, if this node is to carry them.
+    pub fn new(settings: Settings, policy: Policy, flows: Option<Limits>) -> Node {
+        let flows = flows.map(|limits| {
+            let peers = settings.peers.iter().map(|p| p.node.clone());
+            let nodes = peers.chain([settings.node.clone()]).collect();
+            let ops = settings.facts.state.txn_ops as usize;
+            let engine = Engine::new(limits, &settings.node, nodes, ops, rand::random(), runtime::now());
+            Flows {
+                engine: RefCell::new(engine),
+                bell: Bell::default(),
+                lease: Cell::new(None),
+                busy: Cell::new(0),
+                pages_from: Cell::new(Micros::ZERO),
+            }
+        });
         Node {
+            flows,
             config: Config::of(&settings),
             state: State::new(settings.endpoints.state),
             cloud: Cloud::new(settings.endpoints.cloud, settings.facts.cloud.rps),
--- /dev/null
+++ b/crates/hopyoke/src/records.rs
@@ -0,0 +1,113 @@
+//! Jobs' records in the state service, as any node reads and changes them.
+
+use crate::node::Node;
+use crate::state::{StateError, TxnEnd, end_key, job_key};
+use hopyoke_core::{EndRecord, JobRecord};
+use hopyoke_runtime as runtime;
+use hopyoke_types::{JobId, Mark, Micros};
+use hopyoke_wire::state::{Change, Condition, Stored};
+use hopyoke_wire::user::JobState;
+use std::rc::Rc;
+use tracing::warn;
+
+/// A job's record, wherever it is.
+pub enum Lookup {
+    Unfinished(Stored<JobRecord>, Mark),
+    Finished(EndRecord),
+    Unreadable,
+    Missing,
+}
+
+impl Lookup {
+    /// The job is a step of a workflow's run.
+    pub fn is_flow(&self) -> bool {
+        match self {
+            Lookup::Unfinished(Stored::Value(record), _) => record.flow,
+            Lookup::Finished(end) => end.flow,
+            _ => false,
+        }
+    }
+}
+
+/// Reads a job's record. A record only ever moves from `job/` to `end/`, so reading in this order
+/// can't miss it; only then is it truly missing. (Guards `forgotten` and `invented`.)
+pub async fn lookup(node: &Node, id: &JobId) -> Result<Lookup, StateError> {
+    if let Some(end) = node.finals.get(id) {
+        return Ok(Lookup::Finished(end));
+    }
+    if let Some((record, mark)) = node.state.get::<JobRecord>(&job_key(id)).await? {
+        return Ok(Lookup::Unfinished(record, mark));
+    }
+    Ok(match node.state.get::<EndRecord>(&end_key(id)).await? {
+        Some((Stored::Value(end), _)) => {
+            node.finals.add(id, end);
+            Lookup::Finished(end)
+        }
+        Some((Stored::Unreadable(_), _)) => {
+            warn!(job = %id, "unreadable final record");
+            Lookup::Unreadable
+        }
+        None => Lookup::Missing,
+    })
+}
+
+/// Writes the record of a new job, on the condition that there is none, and on more.
+pub async fn accept(node: &Rc<Node>, record: JobRecord, more: Vec<Condition>) -> Result<TxnEnd, StateError> {
+    let id = record.spec.id.clone();
+    let mut conditions =
+        vec![Condition { key: job_key(&id), mark: Mark(0) }, Condition { key: end_key(&id), mark: Mark(0) }];
+    conditions.extend(more);
+    let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
+    let end = node.state.txn(conditions, changes).await?;
+    if matches!(end, TxnEnd::Applied(_)) {
+        nudge(node, &id);
+    }
+    Ok(end)
+}
+
+/// Cancels a job: its record moves to its final place. What it is afterwards; `None`: its record
+/// keeps changing.
+pub async fn cancel(node: &Rc<Node>, id: &JobId) -> Result<Option<Lookup>, StateError> {
+    let started = runtime::now();
+    loop {
+        let (record, mark) = match lookup(node, id).await? {
+            Lookup::Unfinished(record, mark) => (record.readable(), mark),
+            found => return Ok(Some(found)),
+        };
+        let done = record.as_ref().map_or(0, |r| r.done.count());
+        let flow = record.is_some_and(|r| r.flow);
+        let end = EndRecord { flow, ..EndRecord::new(JobState::Cancelled, done) };
+        let conditions = vec![Condition { key: job_key(id), mark }, Condition { key: end_key(id), mark: Mark(0) }];
+        let changes =
+            vec![Change::Drop { key: job_key(id) }, Change::Put { key: end_key(id), value: end, lease: None }];
+        match node.state.txn(conditions, changes).await? {
+            TxnEnd::Applied(_) => {
+                node.finals.add(id, end);
+                node.promises.note_cancelled(id);
+                nudge(node, id);
+                if let Some(leading) = node.leading() {
+                    leading.core.borrow_mut().job_dropped(id);
+                    leading.bell.ring();
+                }
+                return Ok(Some(Lookup::Finished(end)));
+            }
+            // Its record changed meanwhile, by the leader's progress most likely.
+            TxnEnd::Failed(_) if runtime::now() < started + Micros::from_secs(2) => {}
+            TxnEnd::Failed(_) => return Ok(None),
+        }
+    }
+}
+
+/// Tells the leader, in the background, that a job was accepted or cancelled here.
+fn nudge(node: &Rc<Node>, id: &JobId) {
+    if node.leading().is_some() {
+        return;
+    }
+    let (node, id) = (node.clone(), id.clone());
+    runtime::spawn_until(node.cancel.clone(), async move {
+        let leader = node.leader.borrow().clone();
+        if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) {
+            link.nudge(&node.settings.node, &id).await;
+        }
+    });
+}
--- a/crates/hopyoke/src/serve.rs
+++ b/crates/hopyoke/src/serve.rs
@@ -1,8 +1,8 @@
 //! A controller node's routines, and how they are started.
 
 use crate::node::Node;
-use crate::{api, lead, mesh, workers};
-use hopyoke_policy::Policy;
+use crate::{api, flows, lead, mesh, tuning, workers};
+use hopyoke_policy::{Figures, Policy};
 use hopyoke_runtime::http::{self, Limits, Request, Response};
 use hopyoke_runtime::{self as runtime, TcpListener};
 use hopyoke_settings::Settings;
@@ -25,7 +25,9 @@
                 return;
             }
         };
-        let node = Rc::new(Node::new(settings, policy));
+        let values = policy.evaluate(&Figures::default());
+        let flow_limits = values.boolean("flows").then(|| tuning::flow_limits(&values, &settings));
+        let node = Rc::new(Node::new(settings, policy, flow_limits));
         info!(node = %node.settings.node, zone = %node.settings.zone, "serving");
         runtime::spawn_until(node.cancel.clone(), keep_catalog(node.clone()));
         runtime::spawn_until(node.cancel.clone(), lead::run(node.clone()));
@@ -34,6 +36,7 @@
             runtime::spawn_until(node.cancel.clone(), mesh::greet(node.clone(), peer));
         }
         runtime::spawn_until(node.cancel.clone(), probe_state(node.clone()));
+        flows::start(&node);
         let limits = Limits {
             // Leave sockets for the state service, the cloud, workers and the mesh.
             connections: node.settings.facts.limits.max_connections * 3 / 4,
--- a/crates/hopyoke/src/state.rs
+++ b/crates/hopyoke/src/state.rs
@@ -8,7 +8,13 @@
 //! | `end/ID` | a finished job, for good |
 //! | `fleet/ID` | a machine that tasks may be on |
 //! | `learn/N` | learned run times; nothing depends on them |
+//! | `flow/head/RUN` | a run of a workflow that is not over |
+//! | `flow/hold/RUN` | who carries it, on the carrier's lease |
+//! | `flowend/RUN` | a run that is over, for good |
+//! | `flowplan/RUN/N` | a page of its plan, written once |
+//! | `flowpage/RUN/N` | a page of its steps' progress |
 
+use hopyoke_flow::RunId;
 use hopyoke_runtime as runtime;
 use hopyoke_runtime::http::{Client, ClientError, Method, Response};
 use hopyoke_runtimes::PageKey;
@@ -27,6 +33,40 @@
 pub const FLEET: &str = "fleet/";
 pub const LEARNED: &str = "learn/";
 
+pub const FLOWS: &str = "flow/";
+pub const FLOW_HEADS: &str = "flow/head/";
+pub const FLOW_HOLDS: &str = "flow/hold/";
+pub const FLOW_ENDS: &str = "flowend/";
+
+pub fn flow_key(run: RunId) -> String {
+    format!("{FLOW_HEADS}{run}")
+}
+
+pub fn flow_hold_key(run: RunId) -> String {
+    format!("{FLOW_HOLDS}{run}")
+}
+
+pub fn flow_end_key(run: RunId) -> String {
+    format!("{FLOW_ENDS}{run}")
+}
+
+/// Under which a run's plan is; its pages follow in the order of their keys.
+pub fn flow_plan_prefix(run: RunId) -> String {
+    format!("flowplan/{run}/")
+}
+
+pub fn flow_plan_key(run: RunId, page: u32) -> String {
+    format!("flowplan/{run}/{page:05}")
+}
+
+pub fn flow_page_prefix(run: RunId) -> String {
+    format!("flowpage/{run}/")
+}
+
+pub fn flow_page_key(run: RunId, page: u32) -> String {
+    format!("flowpage/{run}/{page:03}")
+}
+
 pub fn job_key(id: &JobId) -> String {
     format!("{JOBS}{id}")
 }
@@ -137,13 +177,7 @@
         let mut all: Vec<Pair<T>> = Vec::new();
         let mut revision = None;
         loop {
-            let since = all.last().map_or(String::new(), |p| format!("&since={}", p.key));
-            let path = format!("/kv?under={prefix}{since}&most={PAGE}");
-            let r = self.send(Method::Get, &path, &[], READ_LIMIT).await?;
-            if r.status != 200 {
-                return Err(StateError::Refused(r.status));
-            }
-            let page: Page<T> = read(&r)?;
+            let page: Page<T> = self.page(prefix, all.last().map(|p| p.key.as_str()), PAGE).await?;
             revision.get_or_insert(page.revision);
             let more = page.more && !page.pairs.is_empty();
             all.extend(page.pairs);
@@ -153,6 +187,22 @@
         }
     }
 
+    /// One page of the pairs under a prefix, after a key.
+    pub async fn page<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        since: Option<&str>,
+        most: u32,
+    ) -> Result<Page<T>, StateError> {
+        let since = since.map_or(String::new(), |s| format!("&since={s}"));
+        let path = format!("/kv?under={prefix}{since}&most={most}");
+        let r = self.send(Method::Get, &path, &[], READ_LIMIT).await?;
+        if r.status != 200 {
+            return Err(StateError::Refused(r.status));
+        }
+        read(&r)
+    }
+
     pub async fn txn<V: Serialize>(
         &self,
         conditions: Vec<Condition>,
--- a/crates/hopyoke/src/tuning.rs
+++ b/crates/hopyoke/src/tuning.rs
@@ -2,8 +2,10 @@
 
 use crate::node::Leading;
 use hopyoke_core::{Core, Phase, Tuning};
+use hopyoke_flow::Limits;
 use hopyoke_policy::{Figures, Values};
 use hopyoke_runtime as runtime;
+use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
 use tracing::info;
 
@@ -28,6 +30,7 @@
         drain_looks: v.count("drain_looks"),
         job_backoff: v.duration("job_backoff"),
         suspect_after: v.count("suspect_after"),
+        step_patience: v.count("step_patience"),
         machine_pause: v.duration("machine_pause"),
         faulty_after: v.count("faulty_after"),
         gather_least: v.duration("gather_least"),
@@ -46,6 +49,22 @@
     }
 }
 
+/// What runs of workflows may take of this node and of the state service.
+pub fn flow_limits(v: &Values, settings: &Settings) -> Limits {
+    let facts = &settings.facts;
+    let nodes = f64::from(facts.nodes.max(1));
+    Limits {
+        steps_in_flight: v.count("flow_steps"),
+        team_steps_in_flight: v.count("flow_team_steps"),
+        runs_carried: v.count("flow_runs"),
+        steps_carried: v.count("flow_steps_carried"),
+        writes_per_s: facts.state.write_rps * v.share("flow_write_share") / nodes,
+        reads_per_s: facts.state.rps * v.share("flow_read_share") / nodes,
+        gather: v.duration("flow_gather"),
+        ..Limits::default()
+    }
+}
+
 /// What is measured now. Looks at all machines and jobs once, so it is not for every plan.
 fn figures(core: &Core, plan_busy: f64, now: Micros) -> Figures {
     let up = || core.machines.values().filter(|m| m.phase == Phase::Up);
