The GA4GH workflow service and the CWL command line; a site of stand-ins on loopback

Change: package hopyoke-wes: WES 1.1 over JSON with bearer tokens that map to teams, documents read on bounded threads, descriptions published for workers, calls that try all controllers; hopyoke cwl check, run, list, status, cancel, resume, serve. Package hopyoke-standin: state service, cloud and workers on loopback around real controllers. HTTP keeps authorization, content type and Retry-After. A step waits for all its sources, also for those its process does not ask for.

--- a/crates/hopyoke-cwl/src/expand.rs
+++ b/crates/hopyoke-cwl/src/expand.rs
@@ -29,8 +29,10 @@
 /// What the submitter says beside the document.
 pub struct Options<'a> {
     pub run: RunId,
-    /// The team, if the document names none.
+    /// The team; a document that names another is refused.
     pub team: Option<String>,
+    /// The team if neither the submitter nor the document names one.
+    pub fallback_team: Option<String>,
     /// The class of jobs, if the document names none.
     pub class: Option<String>,
     /// The image of tools that name none.
@@ -42,7 +44,15 @@
 
 impl Options<'_> {
     pub fn new(run: RunId) -> Options<'static> {
-        Options { run, team: None, class: None, image: "default".into(), source: None, bounds: Bounds::default() }
+        Options {
+            run,
+            team: None,
+            fallback_team: None,
+            class: None,
+            image: "default".into(),
+            source: None,
+            bounds: Bounds::default(),
+        }
     }
 }
 
@@ -76,6 +86,7 @@
         tasks: BTreeMap::new(),
         count: 0,
         team: options.team.clone(),
+        floor: (BTreeSet::new(), 0),
     };
     let scope = Scope::default().inside(&process.wants);
     let given = e.given(process, inputs).ok()?;
@@ -120,6 +131,9 @@
     /// Tasks so far.
     count: usize,
     team: Option<String>,
+    /// What the step that is being expanded waits for as a whole, and the first plan step of its own:
+    /// whatever waits for one of those waits for all that already.
+    floor: (BTreeSet<StepNo>, u32),
 }
 
 /// One task of a tool before tasks of equal shape are put together.
@@ -326,19 +340,31 @@
             }
             given.insert(input.id.clone(), bound);
         }
-        let out = if step.scatter.is_empty() {
+        // A step waits for all its sources, also for those that its process does not ask for.
+        let mut floor = all_deps(given.values());
+        if floor.iter().all(|s| s.0 < self.floor.1) {
+            floor.extend(self.floor.0.iter().copied());
+        }
+        let floor = self.meet(floor, path, step.at)?;
+        let outer = std::mem::replace(&mut self.floor, (floor, self.plan.steps.len() as u32));
+        let out = self.step_at_floor(step, path, given, &scope);
+        self.floor = outer;
+        Ok(out?.into_iter().filter(|(id, _)| step.outputs.contains(id)).collect())
+    }
+
+    fn step_at_floor(&mut self, step: &Step, path: &str, given: Values, scope: &Scope) -> Result<Values> {
+        if step.scatter.is_empty() {
             let deps = all_deps(given.values());
-            match self.chosen(step, given, &scope)? {
-                None => nulls(step, &deps),
+            match self.chosen(step, given, scope)? {
+                None => Ok(nulls(step, &deps)),
                 Some(given) => {
                     let given = self.step_inputs(step, given)?;
-                    self.process(&step.run, path, &step.id, given, &scope)?
+                    self.process(&step.run, path, &step.id, given, scope)
                 }
             }
         } else {
-            self.scattered(step, path, given, &scope)?
-        };
-        Ok(out.into_iter().filter(|(id, _)| step.outputs.contains(id)).collect())
+            self.scattered(step, path, given, scope)
+        }
     }
 
     /// `valueFrom` and `when` of one place; `None`: it is not to run.
@@ -527,6 +553,10 @@
             };
             tasks.push(Task { shape, description, names });
         }
+        // Either of these stands for the other where it holds steps of the same level.
+        if deps.iter().all(|s| s.0 < self.floor.1) {
+            deps.clone_from(&self.floor.0);
+        }
         let after: Vec<StepNo> = self.meet(deps, path, p.at)?.into_iter().collect();
         // Groups of equal shape, in the order in which they first appear, each within a job's size.
         let mut groups: IndexMap<u32, Vec<usize>> = IndexMap::new();
@@ -607,7 +637,10 @@
                 return Err(Wrong { at: p.at, what });
             }
             (Some(t), _) => t.clone(),
-            (None, None) => String::new(),
+            (None, None) => {
+                self.team.clone_from(&self.options.fallback_team);
+                self.team.clone().unwrap_or_default()
+            }
         };
         let fallback = if p.id.is_empty() { name } else { &p.id };
         let class = s.class.clone().or_else(|| self.options.class.clone()).unwrap_or_else(|| fallback.to_owned());
--- a/crates/hopyoke-cwl/src/fault.rs
+++ b/crates/hopyoke-cwl/src/fault.rs
@@ -2,7 +2,7 @@
 
 use annotate_snippets::{AnnotationKind, Level as Look, Renderer, Snippet};
 use std::fmt;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// A place in one of the files that were read; lines and columns count from 1, 0: none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Hash)]
@@ -33,8 +33,9 @@
 /// All faults of the files that were read.
 #[derive(Debug, Clone, Default)]
 pub struct Faults {
-    files: Vec<(String, Rc<str>)>,
+    files: Vec<(String, Arc<str>)>,
     list: Vec<Fault>,
+    unsupported: bool,
 }
 
 /// More than this are counted, not kept.
@@ -43,7 +44,7 @@
 impl Faults {
     /// Names a file; its number goes into [`Pos::file`].
     pub(crate) fn file(&mut self, name: &str, text: &str) -> u32 {
-        self.files.push((name.to_owned(), Rc::from(text)));
+        self.files.push((name.to_owned(), Arc::from(text)));
         self.files.len() as u32 - 1
     }
 
@@ -62,6 +63,17 @@
         self.add(Level::Warning, at, message, asks);
     }
 
+    /// A requirement that is not supported: an error of its own kind to callers.
+    pub(crate) fn unsupported(&mut self, at: Pos, message: impl Into<String>, asks: impl Into<String>) {
+        self.unsupported = true;
+        self.error(at, message, asks);
+    }
+
+    /// Some error is a requirement that is not supported.
+    pub fn has_unsupported(&self) -> bool {
+        self.unsupported
+    }
+
     pub fn has_errors(&self) -> bool {
         self.list.iter().any(|f| f.level == Level::Error)
     }
--- a/crates/hopyoke-cwl/src/read.rs
+++ b/crates/hopyoke-cwl/src/read.rs
@@ -322,7 +322,7 @@
                 if hint {
                     self.faults.warn(at, message, "the hint is left aside");
                 } else {
-                    self.faults.error(at, message, "a requirement that docs/CWL.md lists, or a hint");
+                    self.faults.unsupported(at, message, "a requirement that docs/CWL.md lists, or a hint");
                 }
             } else if known {
                 out.push(Want { class, at, body: Rc::new(body) });
@@ -330,7 +330,7 @@
                 self.faults.warn(at, format!("unknown hint {class}"), "the hint is left aside");
             } else {
                 let asks = "a requirement that docs/CWL.md lists";
-                self.faults.error(at, format!("unknown requirement {class}"), asks);
+                self.faults.unsupported(at, format!("unknown requirement {class}"), asks);
             }
         }
         out
--- a/crates/hopyoke-cwl/src/yaml.rs
+++ b/crates/hopyoke-cwl/src/yaml.rs
@@ -105,6 +105,12 @@
     Map(Pos, usize, Vec<Entry>, Option<(String, Pos)>),
 }
 
+/// Reads one document under a name of its own.
+pub fn parse_as(name: &str, text: &str, faults: &mut Faults) -> Option<Node> {
+    let file = faults.file(name, text);
+    parse(text, file, &mut 0, faults)
+}
+
 /// Reads one document. `used`: values read so far, of all documents. `None`: it has a fault, which
 /// is noted.
 pub fn parse(text: &str, file: u32, used: &mut usize, faults: &mut Faults) -> Option<Node> {
--- a/crates/hopyoke-runtime/src/http/client.rs
+++ b/crates/hopyoke-runtime/src/http/client.rs
@@ -1,6 +1,6 @@
 //! A client for one address with kept-alive connections.
 
-use super::message::{ReadError, Reader};
+use super::message::{MSGPACK, ReadError, Reader};
 use super::{Method, Response};
 use crate::{self as runtime, TcpStream};
 use hopyoke_types::Micros;
@@ -51,6 +51,18 @@
         path: &str,
         body: &[u8],
         limit: Micros,
+    ) -> Result<Response, ClientError> {
+        self.send_as(method, path, (MSGPACK, body), "", limit).await
+    }
+
+    /// The same with a body of any type, and further header lines, each with its end.
+    pub async fn send_as(
+        &self,
+        method: Method,
+        path: &str,
+        body: (&str, &[u8]),
+        headers: &str,
+        limit: Micros,
     ) -> Result<Response, ClientError> {
         if self.open.get() >= MAX_OPEN {
             return Err(ClientError::NotSent("too many requests open"));
@@ -65,7 +77,7 @@
             }
         };
         let left = deadline - runtime::now();
-        match runtime::timeout(left, self.exchange(&stream, method, path, body)).await {
+        match runtime::timeout(left, self.exchange(&stream, method, path, body, headers)).await {
             Ok(Ok((response, keep))) => {
                 if keep && self.idle.borrow().len() < MAX_IDLE {
                     self.idle.borrow_mut().push(stream);
@@ -90,13 +102,14 @@
         stream: &TcpStream,
         method: Method,
         path: &str,
-        body: &[u8],
+        (content_type, body): (&str, &[u8]),
+        headers: &str,
     ) -> Result<(Response, bool), ReadError> {
         use std::io::Write;
         let mut out = Vec::with_capacity(128 + path.len() + body.len());
-        let _ = write!(out, "{} {} HTTP/1.1\r\nHost: {}\r\n", method.as_str(), path, self.host);
+        let _ = write!(out, "{} {} HTTP/1.1\r\nHost: {}\r\n{headers}", method.as_str(), path, self.host);
         if !body.is_empty() || method == Method::Post {
-            let _ = write!(out, "Content-Type: application/msgpack\r\nContent-Length: {}\r\n", body.len());
+            let _ = write!(out, "Content-Type: {content_type}\r\nContent-Length: {}\r\n", body.len());
         }
         out.extend_from_slice(b"\r\n");
         out.extend_from_slice(body);
@@ -108,6 +121,7 @@
         }
         let body = reader.body(stream, &head, MAX_ANSWER).await?;
         let keep = !head.close && !reader.has_some();
-        Ok((Response { status: head.status, body, retry_after_s: None, close: false }, keep))
+        let retry_after_s = head.retry_after_s;
+        Ok((Response { body, retry_after_s, ..Response::empty(head.status) }, keep))
     }
 }
--- a/crates/hopyoke-runtime/src/http/message.rs
+++ b/crates/hopyoke-runtime/src/http/message.rs
@@ -4,16 +4,15 @@
 use serde::Serialize;
 use std::io;
 
-/// The largest body that any interface of ours takes.
-pub const MAX_BODY: usize = 64 * 1024;
 const MAX_HEAD: usize = 8 * 1024;
 const MAX_HEADERS: usize = 48;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Method {
     Get,
     Post,
     Delete,
+    #[default]
     Other,
 }
 
@@ -28,17 +27,21 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Request {
     pub method: Method,
     pub path: String,
     pub body: Vec<u8>,
+    /// `Authorization`, if there is one.
+    pub authorization: Option<String>,
+    /// `Content-Type`, unless it is that of the platform's interfaces.
+    pub content_type: Option<String>,
     pub(super) close: bool,
 }
 
 impl Request {
     pub fn new(method: Method, path: String, body: Vec<u8>) -> Request {
-        Request { method, path, body, close: false }
+        Request { method, path, body, ..Request::default() }
     }
 }
 
@@ -48,17 +51,26 @@
     pub body: Vec<u8>,
     /// Whole seconds for a `Retry-After` header.
     pub retry_after_s: Option<u32>,
+    pub content_type: &'static str,
     pub(super) close: bool,
 }
 
+/// What the platform's interfaces speak.
+pub(super) const MSGPACK: &str = "application/msgpack";
+
 impl Response {
     pub fn empty(status: u16) -> Response {
-        Response { status, body: Vec::new(), retry_after_s: None, close: false }
+        Response { status, body: Vec::new(), retry_after_s: None, content_type: MSGPACK, close: false }
     }
 
+    /// A body of the platform's interfaces.
     pub fn of<T: Serialize>(status: u16, body: &T) -> Response {
-        let body = hopyoke_wire::encode(body);
-        Response { status, body, retry_after_s: None, close: false }
+        Response { body: hopyoke_wire::encode(body), ..Response::empty(status) }
+    }
+
+    /// Any other body.
+    pub fn with_body(status: u16, content_type: &'static str, body: Vec<u8>) -> Response {
+        Response { body, content_type, ..Response::empty(status) }
     }
 
     pub fn retry_after(mut self, seconds: u32) -> Response {
@@ -77,11 +89,15 @@
         let mut out = Vec::with_capacity(160 + self.body.len());
         let _ = write!(
             out,
-            "HTTP/1.1 {} {}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n",
+            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
             self.status,
             reason(self.status),
+            self.content_type,
             self.body.len()
         );
+        if self.status == 401 {
+            out.extend_from_slice(b"WWW-Authenticate: Bearer\r\n");
+        }
         if let Some(s) = self.retry_after_s {
             let _ = write!(out, "Retry-After: {s}\r\n");
         }
@@ -99,8 +115,11 @@
         200 => "OK",
         201 => "Created",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
         503 => "Service Unavailable",
@@ -130,6 +149,9 @@
     chunked: bool,
     pub close: bool,
     pub expects_continue: bool,
+    pub authorization: Option<String>,
+    pub content_type: Option<String>,
+    pub retry_after_s: Option<u32>,
 }
 
 /// Reads messages from one connection; keeps what was read beyond a message's end.
@@ -268,6 +290,14 @@
             } else if value.eq_ignore_ascii_case("keep-alive") {
                 head.close = false;
             }
+        } else if h.name.eq_ignore_ascii_case("content-type") {
+            if !value.eq_ignore_ascii_case(MSGPACK) {
+                head.content_type = Some(value.to_owned());
+            }
+        } else if h.name.eq_ignore_ascii_case("retry-after") {
+            head.retry_after_s = value.parse().ok();
+        } else if h.name.eq_ignore_ascii_case("authorization") {
+            head.authorization = Some(value.to_owned());
         } else if h.name.eq_ignore_ascii_case("expect") {
             head.expects_continue = value.eq_ignore_ascii_case("100-continue");
         }
@@ -279,5 +309,16 @@
 }
 
 fn blank(method: Method, path: String, status: u16) -> Head {
-    Head { method, path, status, length: None, chunked: false, close: false, expects_continue: false }
+    Head {
+        method,
+        path,
+        status,
+        length: None,
+        chunked: false,
+        close: false,
+        expects_continue: false,
+        authorization: None,
+        content_type: None,
+        retry_after_s: None,
+    }
 }
--- a/crates/hopyoke-runtime/src/http/server.rs
+++ b/crates/hopyoke-runtime/src/http/server.rs
@@ -1,6 +1,6 @@
 //! The server: a routine per connection, with caps on connections, bodies and time.
 
-use super::message::{MAX_BODY, ReadError, Reader};
+use super::message::{ReadError, Reader};
 use super::{Request, Response};
 use crate::{self as runtime, Cancel, TcpListener, TcpStream};
 use futures_util::future::LocalBoxFuture;
@@ -17,6 +17,8 @@
     pub idle: Micros,
     /// A request must be complete this long after its first byte.
     pub request: Micros,
+    /// The largest body, in bytes.
+    pub body: usize,
 }
 
 type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response>>;
@@ -70,7 +72,7 @@
                 _ => return,
             }
         }
-        let request = match runtime::timeout(limits.request, read(&mut reader, &stream)).await {
+        let request = match runtime::timeout(limits.request, read(&mut reader, &stream, limits.body)).await {
             Ok(Ok(r)) => r,
             Ok(Err(e @ (ReadError::Malformed(_) | ReadError::TooLarge))) => {
                 // 400 even for an oversized body: users retry any other status.
@@ -90,11 +92,18 @@
     }
 }
 
-async fn read(reader: &mut Reader, stream: &TcpStream) -> Result<Request, ReadError> {
+async fn read(reader: &mut Reader, stream: &TcpStream, most: usize) -> Result<Request, ReadError> {
     let head = reader.head(stream, true).await?;
     if head.expects_continue {
         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
-    let body = reader.body(stream, &head, MAX_BODY).await?;
-    Ok(Request { method: head.method, path: head.path, body, close: head.close })
+    let body = reader.body(stream, &head, most).await?;
+    Ok(Request {
+        method: head.method,
+        path: head.path,
+        body,
+        authorization: head.authorization,
+        content_type: head.content_type,
+        close: head.close,
+    })
 }
--- /dev/null
+++ b/crates/hopyoke-standin/src/worker.rs
@@ -0,0 +1,432 @@
+//! A worker: reports, obeys, and lets its tasks take their time.
+
+use crate::serve;
+use crate::state::State;
+use hopyoke_runtime::http::{Client, Method, Request, Response};
+use hopyoke_runtime::{self as runtime, Bell, Cancel};
+use hopyoke_types::{Attempt, MachineId, Micros, TaskId, Token};
+use hopyoke_wire::cloud::MachineType;
+use hopyoke_wire::decode;
+use hopyoke_wire::user::{JobKind, JobSpec};
+use hopyoke_wire::worker::{DirectOrders, ExitReason, Order, Orders, Report, TaskReport, TaskState};
+use serde::Deserialize;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What all workers of a site share.
+pub struct Works {
+    pub state: Rc<State>,
+    /// Controllers by name, in the order in which they are tried.
+    pub controllers: RefCell<Vec<(String, SocketAddr)>>,
+    pub report: Micros,
+    pub lease: Micros,
+    /// A task takes its job's estimate times this.
+    pub factor: f64,
+    /// Jobs of this class fail on every machine.
+    pub failing: RefCell<String>,
+    /// What has started, in its order.
+    pub starts: RefCell<Vec<Start>>,
+    /// Results outlive attempts.
+    done: RefCell<BTreeSet<TaskId>>,
+    /// Tasks on machines now: one that is there twice breaks a rule.
+    present: RefCell<BTreeMap<TaskId, MachineId>>,
+    /// Rules that were seen broken.
+    pub broken: RefCell<Vec<String>>,
+    /// Gang tasks that wait, by job and attempt.
+    gangs: RefCell<BTreeMap<(String, Attempt), u32>>,
+}
+
+/// A task's start.
+#[derive(Debug, Clone)]
+pub struct Start {
+    pub at: Micros,
+    pub task: TaskId,
+    pub machine: MachineId,
+    pub zone: String,
+    pub class: String,
+}
+
+impl Works {
+    pub fn new(state: Rc<State>, report: Micros, lease: Micros, factor: f64) -> Works {
+        Works {
+            state,
+            controllers: RefCell::default(),
+            report,
+            lease,
+            factor,
+            failing: RefCell::default(),
+            starts: RefCell::default(),
+            done: RefCell::default(),
+            present: RefCell::default(),
+            broken: RefCell::default(),
+            gangs: RefCell::default(),
+        }
+    }
+
+    /// A job's description, as users upload it: here it is in its record.
+    fn spec(&self, task: &TaskId) -> Option<JobSpec> {
+        let record = self.state.get(&format!("job/{}", task.job))?;
+        serde_json::from_value(record.get("spec")?.clone()).ok()
+    }
+}
+
+struct Task {
+    state: TaskState,
+    why: Option<ExitReason>,
+    spec: Option<JobSpec>,
+    cancel: Cancel,
+}
+
+struct Inner {
+    session: u64,
+    seq: u64,
+    token: Token,
+    tasks: BTreeMap<(TaskId, Attempt), Task>,
+    images: BTreeSet<String>,
+    /// When the last answered report was sent.
+    answered: Micros,
+}
+
+/// One machine's worker.
+pub struct Worker {
+    pub id: MachineId,
+    pub address: SocketAddr,
+    kind: MachineType,
+    zone: String,
+    spot: bool,
+    works: Rc<Works>,
+    inner: RefCell<Inner>,
+    changed: Bell,
+    cancel: Cancel,
+    reports: Cell<u64>,
+}
+
+#[derive(Deserialize)]
+struct Elsewhere {
+    #[serde(default)]
+    harbormaster: Option<String>,
+}
+
+impl Worker {
+    /// Starts it; it ends with `cancel`, and all its tasks with it.
+    ///
+    /// # Errors
+    /// If it cannot listen.
+    pub fn start(
+        id: MachineId,
+        kind: &MachineType,
+        zone: &str,
+        spot: bool,
+        works: Rc<Works>,
+        cancel: &Cancel,
+    ) -> io::Result<Rc<Worker>> {
+        let slot: Rc<RefCell<Option<Rc<Worker>>>> = Rc::default();
+        let door = slot.clone();
+        let address = serve(cancel, move |request| {
+            let worker = door.borrow().clone();
+            async move { worker.map_or(Response::empty(503), |w| w.answer(&request)) }
+        })?;
+        let inner = Inner {
+            session: 1,
+            seq: 0,
+            token: Token(0),
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            answered: runtime::now(),
+        };
+        let worker = Rc::new(Worker {
+            id,
+            address,
+            kind: kind.clone(),
+            zone: zone.to_owned(),
+            spot,
+            works,
+            inner: RefCell::new(inner),
+            changed: Bell::default(),
+            cancel: cancel.clone(),
+            reports: Cell::new(0),
+        });
+        *slot.borrow_mut() = Some(worker.clone());
+        runtime::spawn_until(cancel.clone(), worker.clone().report_on());
+        runtime::spawn_until(cancel.clone(), worker.clone().watch_lease());
+        // Deleted: all that is on the machine is gone.
+        let (w, end) = (worker.clone(), cancel.clone());
+        runtime::spawn(async move {
+            end.run(std::future::pending::<()>()).await;
+            w.kill_all();
+            *slot.borrow_mut() = None;
+        });
+        Ok(worker)
+    }
+
+    fn answer(self: &Rc<Worker>, request: &Request) -> Response {
+        match (request.method, request.path.as_str()) {
+            (Method::Get, "/show") => Response::of(200, &self.report()),
+            (Method::Post, "/commands") => {
+                let Ok(orders) = decode::<DirectOrders>(&request.body) else { return Response::empty(400) };
+                let fits = {
+                    let inner = self.inner.borrow();
+                    orders.token >= inner.token && orders.session == inner.session
+                };
+                if !fits {
+                    return Response::of(409, &self.report());
+                }
+                self.obey(orders.token, orders.orders);
+                Response::of(200, &self.report())
+            }
+            _ => Response::empty(404),
+        }
+    }
+
+    fn report(&self) -> Report {
+        let mut inner = self.inner.borrow_mut();
+        inner.seq += 1;
+        let tasks = inner.tasks.iter().map(|((task, attempt), t)| TaskReport {
+            task: task.to_string(),
+            attempt: *attempt,
+            state: t.state,
+            why: t.why,
+            saved: false,
+        });
+        Report {
+            machine: self.id.clone(),
+            address: self.address.to_string(),
+            machine_type: self.kind.name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: inner.session,
+            seq: inner.seq,
+            token: inner.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// Reports to one controller after the other until one keeps it.
+    async fn report_on(self: Rc<Worker>) {
+        let mut at = rand::random_range(0..1024usize);
+        let mut client: Option<(SocketAddr, Client)> = None;
+        loop {
+            let list = self.works.controllers.borrow().clone();
+            if list.is_empty() {
+                runtime::sleep(Micros::from_millis(100)).await;
+                continue;
+            }
+            let addr = list[at % list.len()].1;
+            if client.as_ref().is_none_or(|(a, _)| *a != addr) {
+                client = Some((addr, Client::new(addr)));
+            }
+            let Some((_, c)) = &client else { continue };
+            let report = self.report();
+            let (sent, session) = (runtime::now(), report.session);
+            let body = hopyoke_wire::encode(&report);
+            self.reports.set(self.reports.get() + 1);
+            match c.send(Method::Post, "/hello", &body, Micros::from_secs(4)).await {
+                Ok(r) if r.status == 200 => {
+                    if let Ok(orders) = decode::<Orders>(&r.body) {
+                        let fits = {
+                            let mut inner = self.inner.borrow_mut();
+                            let fits = orders.token >= inner.token && inner.session == session;
+                            if fits {
+                                inner.answered = sent;
+                            }
+                            fits
+                        };
+                        if fits {
+                            self.obey(orders.token, orders.orders);
+                        }
+                    }
+                    let next = sent + Micros((self.works.report.0 as f64 * rand::random_range(0.75..1.25)) as u64);
+                    self.changed.wait_until(next).await;
+                    // Not more often than every half second.
+                    runtime::sleep_until(sent + Micros::from_millis(500)).await;
+                }
+                Ok(r) if r.status == 421 => {
+                    let to = decode::<Elsewhere>(&r.body).ok().and_then(|e| e.harbormaster);
+                    match to.and_then(|n| list.iter().position(|(name, _)| *name == n)) {
+                        Some(i) if i != at % list.len() => at = i,
+                        _ => {
+                            at += 1;
+                            runtime::sleep(Micros::from_secs(1)).await;
+                        }
+                    }
+                }
+                _ => {
+                    at += 1;
+                    runtime::sleep(Micros::from_secs(1)).await;
+                }
+            }
+        }
+    }
+
+    /// When its lease is over, it kills and forgets all its tasks.
+    async fn watch_lease(self: Rc<Worker>) {
+        loop {
+            runtime::sleep(Micros::from_millis(50)).await;
+            if runtime::now() > self.inner.borrow().answered + self.works.lease {
+                self.kill_all();
+                let mut inner = self.inner.borrow_mut();
+                inner.session += 1;
+                inner.answered = runtime::now();
+            }
+        }
+    }
+
+    fn kill_all(&self) {
+        let tasks = std::mem::take(&mut self.inner.borrow_mut().tasks);
+        for ((task, _), t) in tasks {
+            t.cancel.cancel();
+            self.leave(&task);
+        }
+    }
+
+    fn leave(&self, task: &TaskId) {
+        let mut present = self.works.present.borrow_mut();
+        if present.get(task) == Some(&self.id) {
+            present.remove(task);
+        }
+    }
+
+    fn obey(self: &Rc<Worker>, token: Token, orders: Vec<Order>) {
+        self.inner.borrow_mut().token = token;
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    if let Some(task) = TaskId::parse(&task) {
+                        self.run(task, attempt);
+                    }
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(task) = TaskId::parse(&task) {
+                        self.exit(&task, attempt, ExitReason::Stopped);
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    if let Some(task) = TaskId::parse(&task) {
+                        let key = (task, attempt);
+                        let mut inner = self.inner.borrow_mut();
+                        if inner.tasks.get(&key).is_some_and(|t| t.state == TaskState::Ended) {
+                            inner.tasks.remove(&key);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn run(self: &Rc<Worker>, task: TaskId, attempt: Attempt) {
+        let key = (task.clone(), attempt);
+        if self.inner.borrow().tasks.contains_key(&key) {
+            return;
+        }
+        let spec = self.works.spec(&task);
+        let refusal = match &spec {
+            None => Some(ExitReason::NoSuch),
+            Some(s) if task.index >= s.tasks => Some(ExitReason::NoSuch),
+            Some(s) => {
+                let inner = self.inner.borrow();
+                let live = || inner.tasks.iter().filter(|(_, t)| t.state != TaskState::Ended);
+                let mut sum = (s.cpus, s.gpus, s.memory_gb);
+                for x in live().filter_map(|(_, t)| t.spec.as_ref()) {
+                    sum = (sum.0 + x.cpus, sum.1 + x.gpus, sum.2 + x.memory_gb);
+                }
+                let k = &self.kind;
+                if live().any(|((t, _), _)| *t == task) {
+                    Some(ExitReason::Busy)
+                } else if sum.0 > k.cpus + 1e-9 || sum.1 > k.gpus + 1e-9 || sum.2 > k.memory_gb + 1e-9 {
+                    Some(ExitReason::NoRoom)
+                } else {
+                    None
+                }
+            }
+        };
+        let state = if refusal.is_some() { TaskState::Ended } else { TaskState::Fetching };
+        let cancel = Cancel::new();
+        let entry = Task { state, why: refusal, spec: spec.clone(), cancel: cancel.clone() };
+        self.inner.borrow_mut().tasks.insert(key, entry);
+        self.changed.ring();
+        if let Some(spec) = spec.filter(|_| refusal.is_none()) {
+            let w = self.clone();
+            runtime::spawn_until(cancel, async move { w.live(task, attempt, spec).await });
+        }
+    }
+
+    /// A task's way from its image to its end.
+    async fn live(self: Rc<Worker>, task: TaskId, attempt: Attempt, spec: JobSpec) {
+        if !self.inner.borrow().images.contains(&spec.image) {
+            runtime::sleep(Micros::from_secs_f64(spec.image_gb / self.kind.fetch_gb_per_s.max(0.001))).await;
+            self.inner.borrow_mut().images.insert(spec.image.clone());
+        }
+        if let Some(other) = self.works.present.borrow_mut().insert(task.clone(), self.id.clone())
+            && other != self.id
+        {
+            let what = format!("ran_twice: {task} starts on {} while on {other}", self.id);
+            self.works.broken.borrow_mut().push(what);
+        }
+        if spec.kind == JobKind::Gang {
+            self.set(&task, attempt, TaskState::Waiting);
+            let key = (task.job.to_string(), attempt);
+            *self.works.gangs.borrow_mut().entry(key.clone()).or_default() += 1;
+            while self.works.gangs.borrow().get(&key).is_none_or(|n| *n < spec.tasks) {
+                runtime::sleep(Micros::from_millis(10)).await;
+            }
+        }
+        self.set(&task, attempt, TaskState::Running);
+        self.works.starts.borrow_mut().push(Start {
+            at: runtime::now(),
+            task: task.clone(),
+            machine: self.id.clone(),
+            zone: self.zone.clone(),
+            class: spec.class.clone(),
+        });
+        if *self.works.failing.borrow() == spec.class {
+            runtime::sleep(Micros::from_millis(50)).await;
+            return self.exit(&task, attempt, ExitReason::Error);
+        }
+        if !self.works.done.borrow().contains(&task) {
+            match spec.kind {
+                JobKind::Service => std::future::pending().await,
+                _ => runtime::sleep(Micros::from_secs_f64(spec.estimate_s * self.works.factor)).await,
+            }
+        }
+        self.works.done.borrow_mut().insert(task.clone());
+        self.exit(&task, attempt, ExitReason::Done);
+    }
+
+    fn set(&self, task: &TaskId, attempt: Attempt, state: TaskState) {
+        if let Some(t) = self.inner.borrow_mut().tasks.get_mut(&(task.clone(), attempt)) {
+            t.state = state;
+        }
+        self.changed.ring();
+    }
+
+    fn exit(&self, task: &TaskId, attempt: Attempt, why: ExitReason) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(t) = inner.tasks.get_mut(&(task.clone(), attempt)) else { return };
+        if t.state == TaskState::Ended {
+            return;
+        }
+        t.state = TaskState::Ended;
+        t.why = Some(why);
+        let cancel = t.cancel.clone();
+        drop(inner);
+        cancel.cancel();
+        self.leave(task);
+        self.changed.ring();
+    }
+}
+
+/// For status pages: how often a worker has reported.
+impl std::fmt::Display for Worker {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "{}",
+            json!({ "machine": self.id, "reports": self.reports.get(), "ends": self.cancel.is_cancelled() })
+        )
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-wes/src/config.rs
@@ -0,0 +1,95 @@
+//! The service's own file (TOML): where it listens, whom it asks, and who its clients are.
+
+use crate::access::Access;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// See `deploy/wes.toml`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    pub listen: SocketAddr,
+    /// Mesh addresses of controllers.
+    pub controllers: Vec<SocketAddr>,
+    /// Where tasks' descriptions are left for workers.
+    #[serde(default)]
+    pub descriptions: Option<PathBuf>,
+    /// The image of tools that name none.
+    #[serde(default = "default_image")]
+    pub image: String,
+    /// Documents that are read at once.
+    #[serde(default = "two")]
+    pub readers: usize,
+    #[serde(default = "connections")]
+    pub connections: usize,
+    #[serde(default, rename = "client")]
+    pub clients: Vec<Client>,
+}
+
+/// Who may submit.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Client {
+    pub name: String,
+    /// The token's SHA-256 in hexadecimal digits; the token itself is nowhere.
+    pub token_sha256: String,
+    /// Teams that it may submit for; the first is the one of runs that name none.
+    pub teams: Vec<String>,
+}
+
+fn default_image() -> String {
+    "default".into()
+}
+
+fn two() -> usize {
+    2
+}
+
+fn connections() -> usize {
+    256
+}
+
+impl Config {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// The place and what is wrong; all faults of values at once.
+    pub fn load(path: &Path) -> Result<Config, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: cannot be read: {e}"))?;
+        Config::parse(&text).map_err(|e| format!("{name}: {e}"))
+    }
+
+    /// # Errors
+    /// As [`Config::load`], without the file's name.
+    pub fn parse(text: &str) -> Result<Config, String> {
+        let config: Config = toml::from_str(text).map_err(|e| e.to_string())?;
+        let mut faults = Vec::new();
+        if config.controllers.is_empty() {
+            faults.push("controllers: at least one mesh address is needed".to_owned());
+        }
+        for (field, n, most) in [("readers", config.readers, 64), ("connections", config.connections, 10_000)] {
+            if n == 0 || n > most {
+                faults.push(format!("{field}: must be 1 to {most}"));
+            }
+        }
+        for c in &config.clients {
+            if c.teams.is_empty() {
+                faults.push(format!("client {}: teams: at least one is needed", c.name));
+            }
+            if Access::digest_of(&c.token_sha256).is_none() {
+                faults.push(format!("client {}: token_sha256: must have 64 hexadecimal digits", c.name));
+            }
+            if c.name.is_empty() || c.name.len() > 100 {
+                faults.push(format!("client {}: name: must have 1 to 100 bytes", c.name));
+            }
+        }
+        for (i, c) in config.clients.iter().enumerate() {
+            if config.clients[..i].iter().any(|d| d.name == c.name || d.token_sha256 == c.token_sha256) {
+                faults.push(format!("client {}: name or token stands twice", c.name));
+            }
+        }
+        if faults.is_empty() { Ok(config) } else { Err(faults.join("\n")) }
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-wes/src/publish.rs
@@ -0,0 +1,45 @@
+//! Tasks' descriptions, left where workers find them: one file a job, a list by the task's number.
+
+use hopyoke_cwl::command::Description;
+use hopyoke_flow::{RunId, StepNo, job_id, job_prefix, parts_of};
+use hopyoke_types::JobId;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+
+/// Writes the descriptions of a run's tasks. Each file comes to its name whole, and a repeated call
+/// writes the same; to be called before the run is submitted.
+///
+/// # Errors
+/// Why a file could not be written.
+pub fn publish(dir: &Path, run: RunId, tasks: &BTreeMap<StepNo, Vec<Description>>) -> io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    for (step, list) in tasks {
+        let text = serde_json::to_vec(list).map_err(io::Error::other)?;
+        put(dir, &job_id(run, *step, 0), &text)?;
+    }
+    Ok(())
+}
+
+fn put(dir: &Path, job: &JobId, text: &[u8]) -> io::Result<()> {
+    let path = dir.join(format!("{job}.json"));
+    let part = dir.join(format!("{job}.part"));
+    std::fs::write(&part, text)?;
+    std::fs::rename(&part, &path)
+}
+
+/// Takes a run's descriptions over for another that goes on from it.
+///
+/// # Errors
+/// Why a file could not be read or written.
+pub fn take_over(dir: &Path, old: RunId, new: RunId) -> io::Result<()> {
+    let prefix = job_prefix(old);
+    for entry in std::fs::read_dir(dir)? {
+        let name = entry?.file_name().to_string_lossy().into_owned();
+        let job = name.strip_suffix(".json").filter(|n| n.starts_with(&prefix)).and_then(JobId::parse);
+        if let Some((_, step, _)) = job.as_ref().and_then(parts_of) {
+            put(dir, &job_id(new, step, 0), &std::fs::read(dir.join(&name))?)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hopyoke-wes/src/wire.rs
@@ -0,0 +1,183 @@
+//! Messages of the GA4GH Workflow Execution Service 1.1, as published.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+
+/// Where the service's paths begin.
+pub const BASE: &str = "/ga4gh/wes/v1";
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum State {
+    Unknown,
+    Queued,
+    Initializing,
+    Running,
+    Paused,
+    Complete,
+    ExecutorError,
+    SystemError,
+    Canceled,
+    Canceling,
+    Preempted,
+}
+
+impl State {
+    /// It will not change any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, State::Complete | State::ExecutorError | State::SystemError | State::Canceled)
+    }
+
+    /// Of a run by the controllers' word, and whether anything of it has started.
+    pub fn of_run(word: &str, begun: bool) -> State {
+        match word {
+            "running" if !begun => State::Queued,
+            "running" | "failing" => State::Running,
+            "cancelling" => State::Canceling,
+            "done" => State::Complete,
+            "failed" => State::ExecutorError,
+            "cancelled" => State::Canceled,
+            _ => State::Unknown,
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Problem {
+    pub msg: String,
+    pub status_code: u16,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunIdAnswer {
+    pub run_id: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunStatus {
+    pub run_id: String,
+    pub state: State,
+    /// How far it is. (The published form lets further fields be.)
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub progress: Option<Progress>,
+}
+
+/// Steps of a run.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Progress {
+    pub steps: u32,
+    pub done: u32,
+    pub in_flight: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunSummary {
+    pub run_id: String,
+    pub state: State,
+    pub start_time: Option<String>,
+    pub end_time: Option<String>,
+    pub tags: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunList {
+    pub runs: Vec<RunSummary>,
+    pub next_page_token: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunLog {
+    pub run_id: String,
+    pub request: RunRequest,
+    pub state: State,
+    pub run_log: Log,
+    pub task_logs_url: String,
+    pub outputs: Value,
+}
+
+/// What was submitted; parameters and attachments are not kept.
+#[derive(Debug, Serialize, Deserialize, Default)]
+pub struct RunRequest {
+    pub workflow_params: Map<String, Value>,
+    pub workflow_type: String,
+    pub workflow_type_version: String,
+    pub workflow_url: String,
+    pub tags: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Serialize, Deserialize, Default)]
+pub struct Log {
+    pub name: String,
+    pub cmd: Vec<String>,
+    pub start_time: Option<String>,
+    pub end_time: Option<String>,
+    pub stdout: Option<String>,
+    pub stderr: Option<String>,
+    pub exit_code: Option<i32>,
+    /// Of a run: why it failed. (The published form lets further fields be.)
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub system_logs: Vec<String>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TaskLog {
+    pub id: String,
+    pub name: String,
+    pub cmd: Vec<String>,
+    pub start_time: Option<String>,
+    pub end_time: Option<String>,
+    pub system_logs: Vec<String>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TaskList {
+    pub task_logs: Vec<TaskLog>,
+    pub next_page_token: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ServiceInfo {
+    pub id: String,
+    pub name: String,
+    #[serde(rename = "type")]
+    pub kind: ServiceType,
+    pub description: String,
+    pub organization: Organization,
+    pub version: String,
+    pub workflow_type_versions: BTreeMap<String, TypeVersions>,
+    pub supported_wes_versions: Vec<String>,
+    pub supported_filesystem_protocols: Vec<String>,
+    pub workflow_engine_versions: BTreeMap<String, TypeVersions>,
+    pub default_workflow_engine_parameters: Vec<Value>,
+    pub system_state_counts: BTreeMap<String, u64>,
+    pub auth_instructions_url: String,
+    pub tags: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ServiceType {
+    pub group: String,
+    pub artifact: String,
+    pub version: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Organization {
+    pub name: String,
+    pub url: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TypeVersions {
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workflow_type_version: Vec<String>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workflow_engine_version: Vec<String>,
+}
+
+/// A time of day as the service writes it; 0: none.
+pub fn time(us: u64) -> Option<String> {
+    let at = jiff::Timestamp::from_microsecond(i64::try_from(us).ok()?).ok()?;
+    (us > 0).then(|| at.to_string())
+}
--- a/crates/hopyoke/src/main.rs
+++ b/crates/hopyoke/src/main.rs
@@ -71,6 +71,12 @@
         #[arg(long, value_name = "SECONDS", default_value_t = 0)]
         follow: u64,
     },
+    /// Workflows in CWL: check, run, list, cancel, resume, serve (a program of its own, `hopyoke-cwl`)
+    #[command(disable_help_flag = true)]
+    Cwl {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<std::ffi::OsString>,
+    },
     /// The operators' settings
     Policy {
         #[command(subcommand)]
@@ -117,6 +123,7 @@
             })
         }
         Some(Command::History { mesh, follow }) => history(mesh, follow),
+        Some(Command::Cwl { args }) => cwl(&args),
         Some(Command::Policy { command: PolicyCommand::Show { policy, format } }) => {
             load_policy(policy.as_deref()).map(|p| print!("{}", show_policy(&p, format)))
         }
@@ -131,6 +138,15 @@
     }
 }
 
+/// Becomes the program beside this one that speaks CWL: what it needs stays out of the controller.
+fn cwl(args: &[std::ffi::OsString]) -> Result<(), String> {
+    use std::os::unix::process::CommandExt;
+    let beside = std::env::current_exe().ok().and_then(|p| Some(p.parent()?.join("hopyoke-cwl")));
+    let program = beside.filter(|p| p.is_file()).unwrap_or_else(|| "hopyoke-cwl".into());
+    let e = std::process::Command::new(&program).args(args).exec();
+    Err(format!("{}: {e}; `cargo build --release -p hopyoke-wes` makes it", program.display()))
+}
+
 fn serve(config: Option<&Path>, policy: Option<&Path>) -> Result<(), String> {
     let config = config.ok_or("--config FILE is needed")?;
     let settings = Settings::load(config).map_err(text)?;
--- a/crates/hopyoke/src/serve.rs
+++ b/crates/hopyoke/src/serve.rs
@@ -42,6 +42,7 @@
             connections: node.settings.facts.limits.max_connections * 3 / 4,
             idle: Micros::from_secs(90),
             request: Micros::from_secs(10),
+            body: 64 * 1024,
         };
         let handler = {
             let node = node.clone();
--- a/crates/hopyoke/tests/checks/mod.rs
+++ b/crates/hopyoke/tests/checks/mod.rs
@@ -126,7 +126,8 @@
     let listener = TcpListener::bind("127.0.0.1:0".parse().expect("an address")).map_err(io)?;
     let addr = listener.local_addr().map_err(io)?;
     let cancel = Cancel::new();
-    let limits = Limits { connections: 8, idle: Micros::from_secs(2), request: Micros::from_secs(2) };
+    let limits =
+        Limits { connections: 8, idle: Micros::from_secs(2), request: Micros::from_secs(2), body: 64 * 1024 };
     let handler = Rc::new(|r: Request| -> futures_util::future::LocalBoxFuture<'static, Response> {
         Box::pin(async move { Response::of(200, &r.body.len()) })
     });
