Staffed hours: one rule in the core for all work, over a calendar of IANA zones

Change: package hopyoke-calendar: weeks of hours, holidays, zones with bundled data, an operator's word with an expiry, and the bound of clocks. The core places nothing that is held while nobody is there, stops what was commanded and has not begun, and drains if the settings say so; status tells until when; hopyoke staffed on|off|auto|show. Settings hold, held, hours and more, checked with the file; off in the built-in settings.

--- /dev/null
+++ b/crates/hopyoke-calendar/tests/cases.rs
@@ -0,0 +1,122 @@
+//! The one runner of calendar cases, `tests/cases.txt`.
+//!
+//! ```text
+//! calendar ZONE | HOURS | HOLIDAYS         what the following lines are about
+//! skew SECONDS
+//! at 2026-03-29T08:00:00+01:00 staffed until 2026-03-29T18:00:00+01:00
+//! fault ZONE | HOURS | HOLIDAYS | TEXT     it is refused, with this text
+//! ```
+
+use hopyoke_calendar::{Calendar, Held, Hours, Switch, Window};
+use hopyoke_types::Micros;
+use jiff::Timestamp;
+use proptest::prelude::*;
+
+fn time(text: &str) -> Micros {
+    let t: Timestamp = text.parse().unwrap_or_else(|e| panic!("{text}: {e}"));
+    Micros(t.as_microsecond() as u64)
+}
+
+fn hours(calendar: Calendar, skew: Micros) -> Hours {
+    Hours { calendar, held: Held::default(), drain: false, skew, margin: Micros::ZERO, switch: None }
+}
+
+#[test]
+fn cases() {
+    let mut current: Option<Hours> = None;
+    let mut failed = 0;
+    let mut count = 0;
+    for (n, line) in (1..).zip(include_str!("cases.txt").lines()) {
+        let line = line.split('#').next().unwrap_or("").trim();
+        let Some((verb, rest)) = line.split_once(' ') else { continue };
+        let parts: Vec<&str> = rest.split('|').map(str::trim).collect();
+        count += 1;
+        let result = match verb {
+            "calendar" => match Calendar::parse(parts[1], parts[0], parts[2]) {
+                Ok(c) => {
+                    current = Some(hours(c, Micros::ZERO));
+                    Ok(())
+                }
+                Err(e) => Err(e.to_string()),
+            },
+            "skew" => {
+                let c = current.as_mut().expect("a calendar");
+                c.skew = Micros::from_secs_f64(rest.parse().expect("seconds"));
+                Ok(())
+            }
+            "switch" => {
+                let words: Vec<&str> = rest.split(' ').collect();
+                let c = current.as_mut().expect("a calendar");
+                c.switch = (words[0] != "none").then(|| Switch {
+                    staffed: words[0] == "on",
+                    until_us: time(words[2]).0,
+                    by: "test".into(),
+                });
+                Ok(())
+            }
+            "at" => {
+                let words: Vec<&str> = rest.split(' ').collect();
+                let until = if words[3] == "ever" { None } else { Some(time(words[3])) };
+                let want = Window { staffed: words[1] == "staffed", until };
+                let got = current.as_ref().expect("a calendar").at(time(words[0]));
+                if got == want {
+                    Ok(())
+                } else {
+                    let until =
+                        got.until.map(|t| Timestamp::from_microsecond(t.0 as i64).expect("a time").to_string());
+                    Err(format!("staffed {} until {until:?}", got.staffed))
+                }
+            }
+            "fault" => match Calendar::parse(parts[1], parts[0], parts[2]) {
+                Ok(_) => Err("it is taken".into()),
+                Err(e) if e.to_string().contains(parts[3]) => Ok(()),
+                Err(e) => Err(e.to_string()),
+            },
+            other => Err(format!("unknown statement {other}")),
+        };
+        if let Err(e) = result {
+            failed += 1;
+            println!("FAIL line {n}: `{line}`: {e}");
+        }
+    }
+    println!("{} passed, {failed} failed", count - failed);
+    assert_eq!(failed, 0, "cases failed");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// What `until` says holds up to then, and changes there.
+    #[test]
+    fn windows_hold_and_end(
+        zone in prop::sample::select(vec!["UTC", "Europe/London", "America/New_York", "Australia/Lord_Howe", "Asia/Kathmandu"]),
+        from in 0u32..1440, length in 1u32..1440, days in prop::sample::select(vec!["Mon-Fri", "Sat,Sun", "Mon-Sun", "Wed"]),
+        at in 1_700_000_000u64..1_900_000_000, skew in 0u64..5, step in 0.0f64..1.0,
+    ) {
+        let to = (from + length) % 1440;
+        prop_assume!(to != from);
+        let text = format!("{days} {:02}:{:02}-{:02}:{:02}", from / 60, from % 60, to / 60, to % 60);
+        let h = hours(Calendar::parse(&text, zone, "12-25").expect("sound"), Micros::from_secs(skew));
+        let now = Micros::from_secs(at);
+        let w = h.at(now);
+        let Some(until) = w.until else { return Ok(()) };
+        prop_assert!(until > now);
+        let between = Micros(now.0 + ((until.0 - now.0 - 1) as f64 * step) as u64);
+        prop_assert_eq!(h.at(between), w);
+        prop_assert_eq!(h.at(until).staffed, !w.staffed);
+    }
+
+    /// With a bound on clocks, no clock within it is staffed when the true time is not.
+    #[test]
+    fn skew_is_safe(at in 1_700_000_000u64..1_900_000_000, off in -250_000i64..=250_000) {
+        let calendar = Calendar::parse("Mon-Fri 08:00-18:00", "Europe/London", "").expect("sound");
+        let (safe, truth) = (hours(calendar.clone(), Micros(250_000)), hours(calendar, Micros::ZERO));
+        for edge in [truth.at(Micros::from_secs(at)).until.expect("a change"), Micros::from_secs(at)] {
+            for near in [-260_000i64, -100, 0, 100, 260_000] {
+                let t = (edge.0 as i64 + near) as u64;
+                let clock = (t as i64 + off) as u64;
+                prop_assert!(!safe.at(Micros(clock)).staffed || truth.at(Micros(t)).staffed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hopyoke-core/src/hours.rs
@@ -0,0 +1,141 @@
+//! Staffed hours: work that is held is not placed while nobody is there.
+//!
+//! What was commanded shortly before and has not begun when they end is stopped; what runs goes on,
+//! unless the operators' settings say drain.
+
+use super::Core;
+use super::fleet::SlotState;
+use hopyoke_calendar::{Hours, Switch, Window};
+use hopyoke_types::{Attempt, JobId, MachineId, Micros};
+use hopyoke_wire::user::JobSpec;
+use hopyoke_wire::worker::TaskState;
+use tracing::info;
+
+/// What the core knows of hours.
+#[derive(Default)]
+pub(super) struct Staffing {
+    hours: Option<Hours>,
+    /// A moment of the steady clock and the time of day then; noted often, for clocks drift apart.
+    clock: (Micros, Micros),
+    /// When the window was looked up, by time of day, and the window.
+    window: Option<(Micros, Window)>,
+}
+
+impl Core {
+    /// The operators' hours; `None`: nothing is ever held.
+    pub fn set_hours(&mut self, hours: Option<Hours>) {
+        self.staffing.hours = hours;
+        self.staffing.window = None;
+        self.changed = true;
+    }
+
+    /// An operator's word, or that it was taken back.
+    pub fn set_switch(&mut self, switch: Option<Switch>) {
+        if let Some(h) = &mut self.staffing.hours
+            && h.switch != switch
+        {
+            h.switch = switch;
+            self.staffing.window = None;
+            self.changed = true;
+        }
+    }
+
+    /// The time of day, which may be off by the settings' `skew_ms`.
+    pub fn note_time(&mut self, now: Micros, time_of_day: Micros) {
+        self.staffing.clock = (now, time_of_day);
+    }
+
+    /// Looks whether staffed hours have begun or ended; the calendar itself only when a window is over.
+    pub(super) fn mind_hours(&mut self, now: Micros) {
+        let s = &mut self.staffing;
+        let Some(hours) = &s.hours else { return };
+        let time_of_day = s.clock.1 + (now - s.clock.0);
+        let valid = s
+            .window
+            .as_ref()
+            .is_some_and(|(since, w)| time_of_day >= *since && w.until.is_none_or(|until| time_of_day < until));
+        if valid {
+            return;
+        }
+        let window = hours.at(time_of_day);
+        let was = s.window.replace((time_of_day, window));
+        if was.is_none_or(|(_, w)| w.staffed != window.staffed) {
+            let until = window.until.map_or_else(|| "further notice".to_owned(), |u| hours.local(u));
+            info!(staffed = window.staffed, until, "hours");
+            self.changed = true;
+            if !window.staffed {
+                self.stop_held();
+            }
+        }
+    }
+
+    /// Nobody is there.
+    pub fn unstaffed(&self) -> bool {
+        self.staffing.hours.is_some() && self.staffing.window.is_some_and(|(_, w)| !w.staffed)
+    }
+
+    /// This job is not to be placed now.
+    pub fn is_held(&self, spec: &JobSpec) -> bool {
+        self.unstaffed() && self.staffing.hours.as_ref().is_some_and(|h| h.holds(spec))
+    }
+
+    /// Until when held work waits, as the calendar's zone writes it.
+    pub fn held_until(&self) -> Option<String> {
+        let (_, window) = self.staffing.window.filter(|_| self.unstaffed())?;
+        let hours = self.staffing.hours.as_ref()?;
+        Some(window.until.map_or_else(|| "further notice".to_owned(), |u| hours.local(u)))
+    }
+
+    /// Staffed hours have ended. (Guards against held work that begins after them.)
+    fn stop_held(&mut self) {
+        let drain = self.staffing.hours.as_ref().is_some_and(|h| h.drain);
+        let held = self.jobs.iter().filter(|(_, j)| self.is_held(&j.spec));
+        let mut stops: Vec<(MachineId, JobId, u32, Attempt, f64)> = Vec::new();
+        for (id, job) in held {
+            for (&index, places) in &job.places {
+                for (m, attempt) in places {
+                    let key = (hopyoke_types::TaskId { job: id.clone(), index }, *attempt);
+                    let state = self.machines.get(m).and_then(|m| m.slots().get(&key)).map(|s| s.state);
+                    // A gang that has begun goes on as a whole.
+                    let begun = job.gang_started || matches!(state, Some(s) if has_begun(s));
+                    if !begun {
+                        stops.push((m.clone(), id.clone(), index, *attempt, 0.0));
+                    } else if drain {
+                        // All tasks of a gang are told at once and may save.
+                        stops.push((m.clone(), id.clone(), index, *attempt, job.spec.save_s + 1.0));
+                    }
+                }
+            }
+        }
+        if !stops.is_empty() {
+            info!(tasks = stops.len(), drain, "staffed hours end: held tasks are stopped");
+        }
+        for (machine, job, index, attempt, grace) in stops {
+            self.stop_slot(&machine, &job, index, attempt, grace);
+        }
+    }
+
+    /// An attempt was reported that has not begun, while nobody is there: it is stopped as well, as
+    /// after a takeover at the boundary.
+    pub(super) fn stop_if_held(
+        &mut self,
+        id: &MachineId,
+        job: &JobId,
+        index: u32,
+        attempt: Attempt,
+        state: SlotState,
+    ) {
+        if let Some(j) = self.jobs.get(job)
+            && matches!(state, SlotState::Live(_))
+            && !has_begun(state)
+            && !j.gang_started
+            && self.is_held(&j.spec)
+        {
+            self.stop_slot(id, job, index, attempt, 0.0);
+        }
+    }
+}
+
+fn has_begun(state: SlotState) -> bool {
+    matches!(state, SlotState::Live(TaskState::Running | TaskState::Saving) | SlotState::Ended(_))
+}
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `plan`: placement inside the leased blocks, and the demand for machines.
 //! - `rent`: renting and returning machines.
 //! - `register`: which machines may hold tasks, in pages in the state service.
+//! - `hours`: work that is held while nobody is there.
 //! - `records`: what must be written to the state service, in batches.
 
 mod amounts;
@@ -13,6 +14,7 @@
 mod check;
 pub mod entitlement;
 mod fleet;
+mod hours;
 mod job;
 mod learn;
 mod plan;
@@ -29,6 +31,7 @@
 pub use fleet::{Load, Machine, Phase, Slot, SlotState};
 pub use job::{EndRecord, Job, JobRecord};
 pub use learn::{Ask, Past, When};
+pub use plan::HELD;
 pub use ranges::Ranges;
 pub use rent::RentOutcome;
 pub use reports::Answer;
@@ -165,6 +168,7 @@
     rents: rent::Rents,
     writes: records::Writes,
     learned: learn::Learned,
+    staffing: hours::Staffing,
     actions: VecDeque<Action>,
     /// Something changed that a plan must see.
     changed: bool,
@@ -223,6 +227,7 @@
             recovering: false,
             counter: 0,
             learned: learn::Learned::default(),
+            staffing: hours::Staffing::default(),
             rents: rent::Rents::default(),
             actions: VecDeque::new(),
             changed: true,
@@ -345,6 +350,7 @@
             self.resumed = now;
         }
         self.last_settled = now;
+        self.mind_hours(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
             self.looked_at(4 * self.machines.len());
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -28,6 +28,9 @@
 use tracing::{debug, info};
 use view::Plan;
 
+/// Why held work waits.
+pub const HELD: &str = "staffed hours";
+
 /// One attempt of one task.
 type TaskKey = (TaskId, Attempt);
 
@@ -56,6 +59,8 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             let why = if job.given_up {
                 "its end to be recorded"
+            } else if self.is_held(&job.spec) {
+                HELD
             } else if now < job.hold_until {
                 "its backoff"
             } else if (strange || unbounded) && self.limited(&job.spec.team) {
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -208,6 +208,7 @@
         if !known {
             self.judge_adopted(id, &key.0, t.attempt);
         }
+        self.stop_if_held(id, &key.0.job, key.0.index, t.attempt, state);
     }
 
     /// Decides whether an attempt that a worker reported unasked may go on.
--- a/crates/hopyoke-policy/src/eval.rs
+++ b/crates/hopyoke-policy/src/eval.rs
@@ -67,6 +67,14 @@
         matches!(self.0.get(name), Some((Type::Boolean, Value::Boolean(true))))
     }
 
+    /// A setting that is a text; empty if there is none of the name.
+    pub fn text(&self, name: &str) -> &str {
+        match self.0.get(name) {
+            Some((Type::Text, Value::Text(t))) => t,
+            _ => "",
+        }
+    }
+
     /// All settings with type and value, by name.
     pub fn iter(&self) -> impl Iterator<Item = (&str, Type, &Value)> {
         self.0.iter().map(|(n, (t, v))| (n.as_str(), *t, v))
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -170,6 +170,8 @@
                 let mut core = Core::new(w.cfg.clone(), Token(token), jobs, register, at);
                 core.set_tuning(w.tuning.clone());
                 core.set_time_of_day(w.now, w.now);
+                core.set_hours(w.hours.clone());
+                core.note_time(w.now, w.time_of_day(i));
                 for (key, page) in &learned {
                     core.learned(key, Some(page));
                 }
@@ -337,8 +339,10 @@
         }
         let now = self.now;
         let thorough = self.looks_closely();
+        let time_of_day = self.time_of_day(i);
         let Some(lead) = self.lead(i, process) else { return };
         let looks = lead.core.looks();
+        lead.core.note_time(now, time_of_day);
         lead.core.tick(now);
         let looks = lead.core.looks() - looks;
         let recovered = if lead.core.recovering() { None } else { lead.recovers_since.take() };
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod store;
 pub mod worker;
 
+use hopyoke_calendar::Hours;
 use hopyoke_core::{Config, Team, Tuning};
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, MachineId};
@@ -77,6 +78,9 @@
 /// instead of at each step. What is checked at a task's start is always checked.
 pub const LARGE: usize = 100;
 
+/// The true time of day at the beginning, after the epoch.
+pub const DAWN: Micros = Micros::from_secs(10_000);
+
 pub struct World {
     pub now: Micros,
     queue: BinaryHeap<Reverse<Timed>>,
@@ -84,6 +88,8 @@
     pub rng: StdRng,
     pub cfg: Config,
     pub tuning: Tuning,
+    /// Staffed hours; the world begins at [`DAWN`] on Thursday 1970-01-01 in UTC.
+    pub hours: Option<Hours>,
     pub ttl: Micros,
     pub cancel_s: Micros,
     pub types: Vec<MachineType>,
@@ -134,6 +140,7 @@
                 margin: Micros::from_millis(500),
             },
             tuning: Tuning::default(),
+            hours: None,
             ttl: Micros::from_secs(5),
             cancel_s: Micros::from_secs(34),
             types: Vec::new(),
@@ -163,6 +170,12 @@
         self.thorough && self.machines.len() <= LARGE
     }
 
+    /// The time of day by a node's clock: off by as much as the hours' bound allows, each another way.
+    pub fn time_of_day(&self, node: usize) -> Micros {
+        let skew = self.hours.as_ref().map_or(0, |h| h.skew.0);
+        Micros(DAWN.0 + self.now.0 + skew * node as u64) - Micros(skew)
+    }
+
     pub fn at(&mut self, t: Micros, step: impl FnOnce(&mut World) + 'static) {
         self.next += 1;
         self.queue.push(Reverse(Timed(t.max(self.now), self.next, Box::new(step))));
--- a/crates/hopyoke-world/src/rules.rs
+++ b/crates/hopyoke-world/src/rules.rs
@@ -1,6 +1,7 @@
 //! The rules, checked against what is true.
 
-use super::World;
+use super::{DAWN, World};
+use hopyoke_calendar::Hours;
 use hopyoke_types::Micros;
 use hopyoke_types::{Attempt, JobId, MachineId, TaskId};
 use hopyoke_wire::user::JobState;
@@ -48,6 +49,13 @@
         if !types_ok || !zone_ok || !together || !apart || (spot && !spec.spot) {
             self.broke("wrong_place", format!("{task} starts on {id} ({kind}, {zone}, spot {spot})"));
         }
+        if let Some(h) = &self.hours {
+            // By true time, and without any margin.
+            let truth = Hours { skew: Micros::ZERO, margin: Micros::ZERO, ..h.clone() };
+            if truth.holds(&spec) && !truth.at(DAWN + self.now).staffed {
+                self.broke("unstaffed", format!("{task} starts on {id} while nobody is there"));
+            }
+        }
         if let Some(t) = self.jobs[&task.job].cancelled
             && self.now > t + self.cancel_s
         {
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -1,6 +1,7 @@
 //! Scenarios as text: one statement a line, `#` starts a comment. See `crates/hopyoke/tests/scenarios/README.md`.
 
-use crate::{Cut, Host, Truth, World};
+use crate::{Cut, DAWN, Host, Truth, World};
+use hopyoke_calendar::{Calendar, Held, Hours, Switch};
 use hopyoke_core::{Ask, Team};
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, MachineId};
@@ -122,6 +123,27 @@
                 *flag = true;
             }
         }
+        "hours" => {
+            // Staffed from and to seconds of the world, and what is held outside.
+            let (held, drain) = (word(&mut it), word(&mut it) == "drain");
+            let clock = |s: &str| {
+                let t = DAWN.0 / 1_000_000 + num(s) as u64;
+                format!("{:02}:{:02}:{:02}", t / 3600, t / 60 % 60, t % 60)
+            };
+            let spans: Vec<String> = it
+                .by_ref()
+                .map(|s| s.split_once('-').map_or(String::new(), |(a, b)| format!("{}-{}", clock(a), clock(b))))
+                .collect();
+            let calendar = Calendar::parse(&format!("Thu {}", spans.join(" ")), "UTC", "");
+            w.hours = Some(Hours {
+                calendar: calendar.map_err(|e| e.to_string())?,
+                held: Held::parse(&held.replace('+', " ")).map_err(|e| e.to_string())?,
+                drain,
+                skew: Micros::from_millis(250),
+                margin: Micros::from_secs(2),
+                switch: None,
+            });
+        }
         "idle_return" => w.tuning.idle_return = secs(word(&mut it)),
         "report" => w.cfg.report = secs(word(&mut it)),
         "lease" => w.cfg.lease = secs(word(&mut it)),
@@ -186,6 +208,16 @@
             }
         }
         "cancel" => w.cancel(JobId::new(word(&mut it))),
+        "staffed" => {
+            let (on, until) = (word(&mut it) == "on", secs(word(&mut it)));
+            let switch = Some(Switch { staffed: on, until_us: (DAWN + until).0, by: "operator".into() });
+            if let Some(h) = &mut w.hours {
+                h.switch.clone_from(&switch);
+            }
+            for lead in w.nodes.iter_mut().filter_map(|n| n.lead.as_mut()) {
+                lead.core.set_switch(switch.clone());
+            }
+        }
         "crash" => {
             let who = word(&mut it);
             let back = secs(pairs(&mut it).get("back").copied().unwrap_or("6"));
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -5,8 +5,8 @@
 use crate::state::{
     FLEET, JOBS, LEADER, LEARNED, StateError, TxnEnd, block_key, end_key, fleet_key, job_key, learned_key,
 };
-use crate::tuning;
 use crate::workers::Direct;
+use crate::{staffed, tuning};
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
 use hopyoke_policy::Figures;
@@ -171,6 +171,7 @@
     runtime::spawn_until(cancel.clone(), watch_jobs(node.clone(), leading.clone(), revision));
     runtime::spawn_until(cancel.clone(), write_records(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), list_machines(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), staffed::follow(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), act(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), read_learned(node.clone(), leading.clone()));
     if node.policy.is_live() {
@@ -248,6 +249,7 @@
     let mut core = Core::new(node.config.clone(), token, jobs, register, granted_at);
     core.set_tuning(tuning::tuning_of(&node.policy.evaluate(&Figures::default())));
     core.set_time_of_day(runtime::now(), runtime::time_of_day());
+    core.set_hours(staffed::at_first(node));
     core.set_catalog(node.catalog.borrow().clone());
     Some((core, revision))
 }
@@ -472,6 +474,7 @@
         let mut next = runtime::now() + Micros::from_millis(250);
         if leading.entitled() {
             let mut core = leading.core.borrow_mut();
+            core.note_time(runtime::now(), runtime::time_of_day());
             let due = leading.planning(&node, &mut core, |core| {
                 core.tick(runtime::now());
                 core.next_due(runtime::now())
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
 //! - [`flow_calls`], [`flows`]: clients' calls about runs of workflows, and carrying them.
 //! - [`records`]: jobs' records as any node reads and changes them.
+//! - [`staffed`]: the operators' word on staffed hours.
 //! - [`questions`]: operators' questions about run times.
 //! - [`tuning`]: the operators' settings and the core's tuning.
 //! - [`node`]: what the routines of one node share.
@@ -27,6 +28,7 @@
 pub mod questions;
 pub mod records;
 pub mod serve;
+pub mod staffed;
 pub mod state;
 pub mod status;
 pub mod tuning;
--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -7,8 +7,8 @@
 use hyper::body::Incoming;
 use proto::mesh_client::MeshClient;
 use proto::{
-    FlowAnswer, FlowRequest, Greeting, HistoryAnswer, HistoryRequest, News, StatusRequest, UserRequest,
-    WhenAnswer, WhenRequest,
+    FlowAnswer, FlowRequest, Greeting, HistoryAnswer, HistoryRequest, News, StaffedAnswer, StaffedRequest,
+    StatusRequest, UserRequest, WhenAnswer, WhenRequest,
 };
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -232,6 +232,15 @@
     Ok(ask(addr, |mut c| async move { c.status(StatusRequest {}).await }).await?.text)
 }
 
+/// Sets or shows the operators' word on staffed hours.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn ask_staffed(addr: SocketAddr, request: StaffedRequest) -> io::Result<StaffedAnswer> {
+    let answer = ask(addr, |mut c| async move { c.staffed(request).await }).await?;
+    if answer.error.is_empty() { Ok(answer) } else { Err(io::Error::other(answer.error)) }
+}
+
 /// Asks about a run of a workflow, or for one.
 ///
 /// # Errors
--- a/crates/hopyoke/src/main.rs
+++ b/crates/hopyoke/src/main.rs
@@ -2,11 +2,12 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use hopyoke::links;
-use hopyoke::links::proto::{HistoryRequest, WhenRequest};
+use hopyoke::links::proto::{HistoryRequest, StaffedRequest, WhenRequest};
 use hopyoke_history::Writer;
-use hopyoke_policy::Policy;
+use hopyoke_policy::{Figures, Policy};
 use hopyoke_runtime as runtime;
 use hopyoke_settings::Settings;
+use hopyoke_types::Micros;
 use std::cell::RefCell;
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -71,6 +72,17 @@
         #[arg(long, value_name = "SECONDS", default_value_t = 0)]
         follow: u64,
     },
+    /// Say that somebody is there, or nobody, whatever the calendar says; `auto` takes it back
+    Staffed {
+        #[arg(value_enum)]
+        word: Staffed,
+        /// For how long, such as 90min or 2h
+        #[arg(long = "for", value_name = "SPAN", required_if_eq_any([("word", "on"), ("word", "off")]))]
+        span: Option<String>,
+        /// The mesh address of any controller
+        #[arg(long, value_name = "ADDR")]
+        mesh: SocketAddr,
+    },
     /// Workflows in CWL: check, run, list, cancel, resume, serve (a program of its own, `hopyoke-cwl`)
     #[command(disable_help_flag = true)]
     Cwl {
@@ -97,6 +109,14 @@
     },
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum Staffed {
+    On,
+    Off,
+    Auto,
+    Show,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Format {
     Table,
@@ -123,6 +143,7 @@
             })
         }
         Some(Command::History { mesh, follow }) => history(mesh, follow),
+        Some(Command::Staffed { word, span, mesh }) => staffed(word, span.as_deref(), mesh),
         Some(Command::Cwl { args }) => cwl(&args),
         Some(Command::Policy { command: PolicyCommand::Show { policy, format } }) => {
             load_policy(policy.as_deref()).map(|p| print!("{}", show_policy(&p, format)))
@@ -138,6 +159,37 @@
     }
 }
 
+/// Sets or shows the operators' word on staffed hours.
+fn staffed(word: Staffed, span: Option<&str>, mesh: SocketAddr) -> Result<(), String> {
+    let span_s = match span {
+        None => 0,
+        Some(text) => {
+            let cut = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+            let unit = match &text[cut..] {
+                "s" => 1.0,
+                "min" => 60.0,
+                "h" => 3600.0,
+                "d" => 86_400.0,
+                _ => return Err(format!("--for {text}: must be a number with s, min, h or d")),
+            };
+            let n: f64 = text[..cut].parse().map_err(|_| format!("--for {text}: must begin with a number"))?;
+            if !(1.0..=31.0 * 86_400.0).contains(&(n * unit)) {
+                return Err(format!("--for {text}: must be 1s to 31d"));
+            }
+            (n * unit) as u64
+        }
+    };
+    let word = match word {
+        Staffed::On => "on",
+        Staffed::Off => "off",
+        Staffed::Auto => "auto",
+        Staffed::Show => "show",
+    };
+    let by = std::env::var("USER").unwrap_or_default();
+    let request = StaffedRequest { word: word.to_owned(), span_s, by };
+    ask(mesh, links::ask_staffed(mesh, request)).map(|a| println!("{}", a.text))
+}
+
 /// Becomes the program beside this one that speaks CWL: what it needs stays out of the controller.
 fn cwl(args: &[std::ffi::OsString]) -> Result<(), String> {
     use std::os::unix::process::CommandExt;
@@ -176,7 +228,11 @@
     let Some(file) = file else { return Ok(Policy::defaults()) };
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
-    Policy::load(&name, &text).map_err(|e| e.to_string())
+    let policy = Policy::load(&name, &text).map_err(|e| e.to_string())?;
+    // What the language can't check of a text's own form.
+    let values = policy.evaluate(&Figures::default());
+    hopyoke::tuning::hours_of(&values, Micros::ZERO).map_err(|e| format!("{name}: {e}"))?;
+    Ok(policy)
 }
 
 fn show_policy(policy: &Policy, format: Format) -> String {
@@ -204,7 +260,8 @@
         }
         Format::Markdown => {
             let keep = [0, 2, 3, 4, 5, 7, 8];
-            let line = |cells: &[String]| format!("| {} |\n", keep.map(|k| cells[k].clone()).join(" | "));
+            let line =
+                |cells: &[String]| format!("| {} |\n", keep.map(|k| cells[k].replace('|', "\\|")).join(" | "));
             let mut out = line(&heads.map(str::to_owned)) + &format!("|{}\n", " --- |".repeat(keep.len()));
             for mut r in rows {
                 r[0] = format!("`{}`", r[0]);
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -5,8 +5,10 @@
 //! the rules hold all the same.
 
 use crate::links::proto::mesh_server::{Mesh, MeshServer};
-use crate::links::proto::{FlowAnswer, FlowRequest, UserAnswer, UserRequest, WhenAnswer, WhenRequest};
-use crate::links::proto::{Greeting, HistoryAnswer, HistoryRequest, News, StatusAnswer, StatusRequest};
+use crate::links::proto::{
+    FlowAnswer, FlowRequest, Greeting, HistoryAnswer, HistoryRequest, News, StaffedAnswer, StaffedRequest,
+    StatusAnswer, StatusRequest, UserAnswer, UserRequest, WhenAnswer, WhenRequest,
+};
 use crate::links::{GREET, LocalExec};
 use crate::node::{Leading, Node};
 use crate::questions;
@@ -79,6 +81,7 @@
     When(WhenRequest, oneshot::Sender<WhenAnswer>),
     History(HistoryRequest, oneshot::Sender<HistoryAnswer>),
     Flow(FlowRequest, oneshot::Sender<FlowAnswer>),
+    Staffed(StaffedRequest, oneshot::Sender<StaffedAnswer>),
 }
 
 /// tonic wants handlers that can be sent between threads; ours hand each call to a local routine.
@@ -120,6 +123,9 @@
     async fn flow(&self, r: tonic::Request<FlowRequest>) -> Result<tonic::Response<FlowAnswer>, Status> {
         self.pass(|reply| Call::Flow(r.into_inner(), reply)).await
     }
+    async fn staffed(&self, r: tonic::Request<StaffedRequest>) -> Result<tonic::Response<StaffedAnswer>, Status> {
+        self.pass(|reply| Call::Staffed(r.into_inner(), reply)).await
+    }
 }
 
 struct HyperService(MeshServer<Door>);
@@ -222,5 +228,8 @@
         Call::Flow(request, reply) => {
             let _ = reply.send(crate::flow_calls::answer(node, request).await);
         }
+        Call::Staffed(request, reply) => {
+            let _ = reply.send(crate::staffed::answer(node, request).await);
+        }
     }
 }
--- /dev/null
+++ b/crates/hopyoke/src/staffed.rs
@@ -0,0 +1,113 @@
+//! Staffed hours on a node: the operators' word is a record, and the leader keeps it in mind.
+
+use crate::links::proto::{StaffedAnswer, StaffedRequest};
+use crate::node::{Leading, Node};
+use crate::state::{SWITCH, StateError, TxnEnd};
+use crate::tuning;
+use hopyoke_calendar::{Hours, Switch};
+use hopyoke_policy::Figures;
+use hopyoke_runtime as runtime;
+use hopyoke_types::{Mark, Micros};
+use hopyoke_wire::state::{Change, Condition, Stored};
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// How long the leader may not have heard of a new word.
+const FOLLOW: Micros = Micros::from_secs(5);
+const LONGEST_S: u64 = 31 * 86_400;
+
+/// The hours of the node's settings; `None`: nothing is held.
+fn hours(node: &Node) -> Option<Hours> {
+    let values = node.policy.evaluate(&Figures::default());
+    let skew = Micros::from_secs_f64(node.settings.facts.clock_skew_ms / 1e3);
+    match tuning::hours_of(&values, skew) {
+        Ok(h) => h,
+        Err(e) => {
+            // Checked when the file was read.
+            warn!(error = %e, "hours can't be read");
+            None
+        }
+    }
+}
+
+/// What a new leader begins with. Until the operators' word was read, held work is held: it may say
+/// that nobody is there.
+pub fn at_first(node: &Node) -> Option<Hours> {
+    let unread = Switch { staffed: false, until_us: u64::MAX / 4, by: "nobody yet".into() };
+    hours(node).map(|h| Hours { switch: Some(unread), ..h })
+}
+
+async fn read(node: &Node) -> Result<(Option<Switch>, Mark), StateError> {
+    Ok(match node.state.get::<Switch>(SWITCH).await? {
+        Some((Stored::Value(s), mark)) => (Some(s), mark),
+        Some((Stored::Unreadable(_), mark)) => {
+            warn!("unreadable word on staffed hours: the calendar holds");
+            (None, mark)
+        }
+        None => (None, Mark(0)),
+    })
+}
+
+/// Keeps the operators' word in the leader's mind.
+pub async fn follow(node: Rc<Node>, leading: Rc<Leading>) {
+    if hours(&node).is_none() {
+        return;
+    }
+    loop {
+        let pause = match read(&node).await {
+            Ok((switch, _)) => {
+                leading.core.borrow_mut().set_switch(switch);
+                leading.bell.ring();
+                FOLLOW
+            }
+            Err(_) => Micros::from_millis(500),
+        };
+        runtime::sleep(pause).await;
+    }
+}
+
+/// Answers an operator.
+pub async fn answer(node: &Node, request: StaffedRequest) -> StaffedAnswer {
+    match change(node, request).await {
+        Ok(text) => StaffedAnswer { text, ..StaffedAnswer::default() },
+        Err(error) => StaffedAnswer { error, ..StaffedAnswer::default() },
+    }
+}
+
+async fn change(node: &Node, request: StaffedRequest) -> Result<String, String> {
+    let mut hours = hours(node).ok_or("nothing is held: `hold` is off in this node's settings")?;
+    let now = runtime::time_of_day();
+    let not_now = |e: StateError| format!("the state service did not answer: {e}");
+    let (known, mark) = read(node).await.map_err(not_now)?;
+    let word = match request.word.as_str() {
+        "show" => known,
+        "auto" => None,
+        "on" | "off" if !(1..=LONGEST_S).contains(&request.span_s) => {
+            return Err("the span must be 1 s to 31 days".into());
+        }
+        word @ ("on" | "off") => {
+            let until = now + Micros::from_secs(request.span_s);
+            let by = request.by.chars().take(80).collect();
+            Some(Switch { staffed: word == "on", until_us: until.0, by })
+        }
+        other => return Err(format!("'{other}' is not on, off, auto or show")),
+    };
+    if request.word != "show" {
+        let change = match &word {
+            Some(w) => Change::Put { key: SWITCH.to_owned(), value: w.clone(), lease: None },
+            None => Change::Drop { key: SWITCH.to_owned() },
+        };
+        let condition = Condition { key: SWITCH.to_owned(), mark };
+        match node.state.txn(vec![condition], vec![change]).await.map_err(not_now)? {
+            TxnEnd::Applied(_) => info!(word = request.word, by = request.by, "staffed hours"),
+            TxnEnd::Failed(_) => return Err("somebody else said something at the same moment; look again".into()),
+        }
+    }
+    hours.switch = word;
+    let window = hours.at(now);
+    let until = window.until.map_or_else(|| "further notice".to_owned(), |u| hours.local(u));
+    let by = hours.switch.filter(|s| s.until_us > now.0).map(|s| s.by);
+    let by = by
+        .map_or(String::new(), |by| if by.is_empty() { ", by an operator".into() } else { format!(", by {by}") });
+    Ok(format!("{} until {until}{by}", if window.staffed { "staffed" } else { "not staffed" }))
+}
--- a/crates/hopyoke/src/state.rs
+++ b/crates/hopyoke/src/state.rs
@@ -8,6 +8,7 @@
 //! | `end/ID` | a finished job, for good |
 //! | `fleet/ID` | a machine that tasks may be on |
 //! | `learn/N` | learned run times; nothing depends on them |
+//! | `staffed` | the operators' word on staffed hours |
 //! | `flow/head/RUN` | a run of a workflow that is not over |
 //! | `flow/hold/RUN` | who carries it, on the carrier's lease |
 //! | `flowend/RUN` | a run that is over, for good |
@@ -33,6 +34,8 @@
 pub const FLEET: &str = "fleet/";
 pub const LEARNED: &str = "learn/";
 
+/// The operators' word on staffed hours.
+pub const SWITCH: &str = "staffed";
 pub const FLOWS: &str = "flow/";
 pub const FLOW_HEADS: &str = "flow/head/";
 pub const FLOW_HOLDS: &str = "flow/hold/";
--- a/crates/hopyoke/src/status.rs
+++ b/crates/hopyoke/src/status.rs
@@ -1,7 +1,7 @@
 //! What a controller tells its operators: leader, blocks, machines, jobs, teams, and why jobs wait.
 
 use crate::node::Node;
-use hopyoke_core::{Amounts, Phase};
+use hopyoke_core::{Amounts, HELD, Phase};
 use hopyoke_runtime as runtime;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -26,6 +26,9 @@
         let n = core.machines.values().filter(|m| m.zone == *zone).count();
         let _ = writeln!(out, "block {zone} holder {leader} machines {n}");
     }
+    if let Some(until) = core.held_until() {
+        let _ = writeln!(out, "hours not staffed until {until}");
+    }
     let mut used: BTreeMap<&str, Amounts> = BTreeMap::new();
     for m in core.machines.values() {
         let phase = match m.phase {
@@ -66,7 +69,11 @@
         if let Ok(w) = core.when_job(id, now) {
             let _ = write!(out, " ends_in {:.0} to {:.0} s", w.p50_s, w.p90_s);
         }
-        let _ = if j.waits_for.is_empty() { writeln!(out) } else { writeln!(out, " waits for {}", j.waits_for) };
+        let _ = match (j.waits_for, core.held_until()) {
+            ("", _) => writeln!(out),
+            (HELD, Some(until)) => writeln!(out, " waits for {HELD} until {until}"),
+            (why, _) => writeln!(out, " waits for {why}"),
+        };
     }
     out
 }
--- a/crates/hopyoke/src/tuning.rs
+++ b/crates/hopyoke/src/tuning.rs
@@ -1,6 +1,7 @@
 //! From the operators' settings to the tuning of the core, and from the core to live figures.
 
 use crate::node::Leading;
+use hopyoke_calendar::{Calendar, CalendarFault, Held, Hours};
 use hopyoke_core::{Core, Phase, Tuning};
 use hopyoke_flow::Limits;
 use hopyoke_policy::{Figures, Values};
@@ -49,6 +50,22 @@
     }
 }
 
+/// The staffed hours that these values ask for; `None`: nothing is held.
+///
+/// # Errors
+/// The setting and the part of it at fault, even if nothing is held.
+pub fn hours_of(v: &Values, skew: Micros) -> Result<Option<Hours>, CalendarFault> {
+    let hours = Hours {
+        calendar: Calendar::parse(v.text("hours"), v.text("hours_zone"), v.text("holidays"))?,
+        held: Held::parse(v.text("held"))?,
+        drain: v.boolean("hold_drain"),
+        margin: v.duration("hold_margin"),
+        skew,
+        switch: None,
+    };
+    Ok(v.boolean("hold").then_some(hours))
+}
+
 /// What runs of workflows may take of this node and of the state service.
 pub fn flow_limits(v: &Values, settings: &Settings) -> Limits {
     let facts = &settings.facts;
