--- a/crates/hopyoke-lab/src/main.rs
+++ b/crates/hopyoke-lab/src/main.rs
@@ -55,6 +55,30 @@
         #[arg(long, value_name = "DIR")]
         html: Option<PathBuf>,
     },
+    /// Runs of workflows on real processes on loopback, around stand-ins
+    Flows {
+        #[arg(value_enum, default_value_t = Experiment::All)]
+        which: Experiment,
+        /// The controllers' program; by default `hopyoke` beside this one
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        #[arg(long, value_name = "DIR", default_value = "target/flows")]
+        dir: PathBuf,
+        #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u64).range(1..=500))]
+        runs: u64,
+        /// Steps of a run
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u32).range(10..=2000))]
+        steps: u32,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Experiment {
+    /// What a step costs beside a native job
+    Cost,
+    /// All controllers end with many runs under way
+    Recovery,
+    All,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -87,6 +111,7 @@
         Command::Replay { trace, kill_every, html, strict, seed } => {
             one(&trace, kill_every, html.as_deref(), strict, seed).map(|()| true)
         }
+        Command::Flows { which, program, dir, runs, steps } => flows(which, program, dir, runs, steps),
         Command::Evidence { jobs, seed, html } => evidence(jobs, seed, html.as_deref()),
     };
     match result {
@@ -99,6 +124,48 @@
     }
 }
 
+fn flows(
+    which: Experiment,
+    program: Option<PathBuf>,
+    dir: PathBuf,
+    runs: u64,
+    steps: u32,
+) -> Result<bool, String> {
+    use hopyoke_lab::flows::{Shown, cost, recovery};
+    let beside = || Some(std::env::current_exe().ok()?.parent()?.join("hopyoke"));
+    let program = program.or_else(beside).filter(|p| p.is_file());
+    let program =
+        program.ok_or("no controllers' program: `cargo build --release` makes it, or say --program FILE")?;
+    let slot = std::rc::Rc::new(std::cell::RefCell::new(Err("nothing was shown".to_owned())));
+    let out = slot.clone();
+    hopyoke_runtime::run(async move {
+        let mut holds = true;
+        let mut show = |name: &str, shown: Shown| {
+            println!("{name}");
+            for line in shown.lines {
+                println!("  {line}");
+            }
+            println!("  {}", if shown.holds { "holds" } else { "DOES NOT HOLD" });
+            holds &= shown.holds;
+        };
+        if matches!(which, Experiment::Cost | Experiment::All) {
+            match cost(&program, &dir, 1200).await {
+                Ok(s) => show("cost of a step", s),
+                Err(e) => return *out.borrow_mut() = Err(e),
+            }
+        }
+        if matches!(which, Experiment::Recovery | Experiment::All) {
+            match recovery(&program, &dir, runs, steps).await {
+                Ok(s) => show("recovery", s),
+                Err(e) => return *out.borrow_mut() = Err(e),
+            }
+        }
+        *out.borrow_mut() = Ok(holds);
+    })
+    .map_err(|e| e.to_string())?;
+    slot.replace(Ok(false))
+}
+
 fn one(file: &Path, kill: Option<u64>, page: Option<&Path>, strict: bool, seed: u64) -> Result<(), String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
