Polls answered from the leader's replica: one question for all that wait

Cause, from the protocol's limits: some 700 unfinished jobs polled every 5 s ask for more than 180 requests a second. The leader's core is the replica; ends that it writes itself are remembered. A list that was read while newer news came no longer drops jobs that are newer than it.

--- a/crates/hopyoke/src/api.rs
+++ b/crates/hopyoke/src/api.rs
@@ -2,7 +2,7 @@
 
 use crate::links::{ASK_LEADER, ASK_PEER};
 use crate::node::Node;
-use crate::records::{self, Lookup, lookup};
+use crate::records::{self, Lookup, lookup, lookup_ended};
 use crate::state::{StateError, TxnEnd};
 use hopyoke_core::{EndRecord, JobRecord, never_runs};
 use hopyoke_runtime as runtime;
@@ -149,6 +149,25 @@
 }
 
 async fn poll(node: &Node, id: &JobId) -> Result<Response, StateError> {
+    if let Some(end) = node.finals.get(id) {
+        return Ok(finished(id, end));
+    }
+    if let Some(leading) = node.leading() {
+        if !leading.replica.current().await {
+            // More reads would not help: it is busy, or away. The user polls again.
+            return Ok(later("the state service did not answer in time"));
+        }
+        // Whatever was written before the poll arrived is in the core now. (Guards `went_back` and
+        // `forgotten`; an older answer than another node's is not possible.)
+        if leading.core.borrow().jobs.contains_key(id) {
+            return Ok(unfinished(node, id, None));
+        }
+        if let Some(end) = node.finals.get(id) {
+            return Ok(finished(id, end));
+        }
+        // Over, or never accepted, or its record can't be read: its own records tell.
+        return Ok(answer(node, id, lookup_ended(node, id).await?));
+    }
     Ok(answer(node, id, lookup(node, id).await?))
 }
 
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -2,6 +2,7 @@
 //! blocks to itself, takes over the records, and runs the core.
 
 use crate::node::{Leading, Node};
+use crate::replica::{self, Replica};
 use crate::state::{
     FLEET, JOBS, LEADER, LEARNED, StateError, TxnEnd, block_key, end_key, fleet_key, job_key, learned_key,
 };
@@ -163,12 +164,14 @@
         bell: Bell::default(),
         write_bell: Bell::default(),
         cancel: cancel.clone(),
+        replica: Replica::new(revision),
         plan_cost: Cell::new(Micros::ZERO),
         plans_from: Cell::new(now),
         plans_may: node.settings.facts.limits.cpu_share,
     });
     *node.leading.borrow_mut() = Some(leading.clone());
-    runtime::spawn_until(cancel.clone(), watch_jobs(node.clone(), leading.clone(), revision));
+    runtime::spawn_until(cancel.clone(), watch_jobs(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), replica::ask(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), write_records(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), list_machines(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), staffed::follow(node.clone(), leading.clone()));
@@ -254,7 +257,7 @@
     Some((core, revision))
 }
 
-fn job_of(pair: Pair<JobRecord>) -> Option<(JobId, JobRecord, Mark)> {
+pub(crate) fn job_of(pair: Pair<JobRecord>) -> Option<(JobId, JobRecord, Mark)> {
     let id = JobId::parse(pair.key.strip_prefix(JOBS)?)?;
     match pair.value {
         Stored::Value(record) => Some((id, record, pair.mark)),
@@ -282,44 +285,31 @@
 }
 
 /// Learns of jobs that other nodes accept or cancel.
-async fn watch_jobs(node: Rc<Node>, leading: Rc<Leading>, mut since: u64) {
+async fn watch_jobs(node: Rc<Node>, leading: Rc<Leading>) {
     loop {
         let sent = runtime::now();
+        let since = leading.replica.applied.get();
         let result: Result<Events<JobRecord>, _> = node.state.changes(JOBS, since, WATCH).await;
         match result {
-            Ok(events) => {
-                since = events.revision.max(since);
-                leading.right.borrow_mut().heard(sent);
-                let now = runtime::now();
-                let mut core = leading.core.borrow_mut();
-                let any = !events.events.is_empty();
-                for e in events.events {
-                    if let Some(id) = e.drop.as_deref().and_then(job_id_of) {
-                        core.job_dropped(&id);
-                    } else if let (Some(key), Some(value)) = (e.put, e.value)
-                        && let Some((id, record, mark)) = job_of(Pair { key, value, mark: e.mark })
-                    {
-                        core.job_seen(id, record, mark, now);
-                    }
-                }
-                drop(core);
-                if any {
-                    leading.bell.ring();
-                }
-            }
+            Ok(events) => replica::apply(&leading, events, sent),
             Err(StateError::Gone) => match node.state.list::<JobRecord>(JOBS).await {
                 Ok((pairs, revision)) => {
                     let now = runtime::now();
                     let mut core = leading.core.borrow_mut();
                     let listed: std::collections::BTreeSet<JobId> =
                         pairs.iter().filter_map(|p| job_id_of(&p.key)).collect();
-                    for id in core.job_ids().into_iter().filter(|id| !listed.contains(id)) {
+                    // A job that is newer than the list has come by a nudge or a question meanwhile.
+                    // (Guards `forgotten`: it would be taken for over.)
+                    let old = |id: &JobId| core.jobs.get(id).is_some_and(|j| j.mark.0 <= revision);
+                    let gone: Vec<JobId> =
+                        core.job_ids().into_iter().filter(|id| !listed.contains(id) && old(id)).collect();
+                    for id in gone {
                         core.job_dropped(&id);
                     }
                     for (id, record, mark) in pairs.into_iter().filter_map(job_of) {
                         core.job_seen(id, record, mark, now);
                     }
-                    since = revision;
+                    leading.replica.applied.set(revision);
                     leading.right.borrow_mut().heard(sent);
                     leading.bell.ring();
                 }
@@ -374,6 +364,14 @@
             leading.cancel.cancel();
             return;
         }
+        if result.is_ok() {
+            // Polls of these need not ask for them.
+            for w in &batch.writes {
+                if let Write::End { job, end, .. } = w {
+                    node.finals.add(job, *end);
+                }
+            }
+        }
         leading.core.borrow_mut().batch_ended(batch, result, runtime::now());
         leading.bell.ring();
     }
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`mesh`]: answers peers and operators.
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
 //! - [`flow_calls`], [`flows`]: clients' calls about runs of workflows, and carrying them.
+//! - [`replica`]: polls answered from the leader's replica.
 //! - [`records`]: jobs' records as any node reads and changes them.
 //! - [`staffed`]: the operators' word on staffed hours.
 //! - [`questions`]: operators' questions about run times.
@@ -27,6 +28,7 @@
 pub mod promises;
 pub mod questions;
 pub mod records;
+pub mod replica;
 pub mod serve;
 pub mod staffed;
 pub mod state;
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -4,6 +4,7 @@
 use crate::finals::Finals;
 use crate::links::Links;
 use crate::promises::Promises;
+use crate::replica::Replica;
 use crate::state::State;
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Config, Core};
@@ -63,6 +64,8 @@
     /// Rung when something is to be written.
     pub write_bell: Bell,
     pub cancel: Cancel,
+    /// How far the core is known to follow the records.
+    pub replica: Replica,
     /// What plans have cost since `plans_from`, and the share of what they might have.
     pub plan_cost: Cell<Micros>,
     pub plans_from: Cell<Micros>,
--- a/crates/hopyoke/src/records.rs
+++ b/crates/hopyoke/src/records.rs
@@ -51,6 +51,17 @@
     })
 }
 
+/// Reads the record of a job that is known not to be among the unfinished ones, so most likely over.
+pub async fn lookup_ended(node: &Node, id: &JobId) -> Result<Lookup, StateError> {
+    if let Some((Stored::Value(end), _)) = node.state.get::<EndRecord>(&end_key(id)).await? {
+        node.finals.add(id, end);
+        return Ok(Lookup::Finished(end));
+    }
+    // Only a full look proves that it is missing: an unfinished record that can't be read is in no
+    // replica.
+    lookup(node, id).await
+}
+
 /// Writes the record of a new job, on the condition that there is none, and on more.
 pub async fn accept(node: &Rc<Node>, record: JobRecord, more: Vec<Condition>) -> Result<TxnEnd, StateError> {
     let id = record.spec.id.clone();
--- a/crates/hopyoke/src/status.rs
+++ b/crates/hopyoke/src/status.rs
@@ -21,6 +21,8 @@
         let _ =
             writeln!(out, "slow machine {} factor {:.2} from {:.0} runs", slow.machine, slow.factor, slow.runs);
     }
+    let (questions, reads) = leading.replica.counts();
+    let _ = writeln!(out, "polls from the replica {reads} questions {questions}");
     let _ = writeln!(out, "token {} entitled {} recovering {}", core.token, leading.entitled(), core.recovering());
     for zone in &core.cfg.zones {
         let n = core.machines.values().filter(|m| m.zone == *zone).count();
