--- a/crates/hopyoke-lab/src/replay.rs
+++ b/crates/hopyoke-lab/src/replay.rs
@@ -206,6 +206,7 @@
     Truth {
         run: Micros::from_secs_f64(run.ran_s),
         fails: false,
+        flow: false,
         accepted: None,
         cancelled: None,
         done: vec![false; run.tasks as usize],
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -632,7 +632,9 @@
                 return;
             }
             let Some(job) = w.jobs.get(&id) else { return };
-            let record = JobRecord::accepted((*job.spec).clone(), w.now.0);
+            let spec = (*job.spec).clone();
+            let record =
+                if job.flow { JobRecord::of_flow(spec, w.now.0) } else { JobRecord::accepted(spec, w.now.0) };
             let when = [(format!("job/{id}"), 0), (format!("end/{id}"), 0)];
             let _ = w.store.txn(&when, vec![Change::Put(format!("job/{id}"), Value::Job(record), None)]);
             w.send(Host::State, Host::Node(i), move |w| {
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -65,6 +65,8 @@
     pub run: Micros,
     /// Fails on every machine.
     pub fails: bool,
+    /// It is a step of a workflow's run.
+    pub flow: bool,
     pub accepted: Option<Micros>,
     pub cancelled: Option<Micros>,
     pub done: Vec<bool>,
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -340,6 +340,7 @@
     Truth {
         run: Micros::from_secs_f64(run),
         fails: yes("fails"),
+        flow: yes("flow"),
         accepted: None,
         cancelled: None,
         done: vec![false; tasks as usize],
