One plain job for tests and figures, one start of logs, one way to the leader

Need: found on a reading of the whole change: the same job written out five times, the same start of logs twice, and a question passed on in two like pieces. Change: JobSpec::plain, hopyoke::log, one look-up of the leader's link; fewer connections of the workflow service, for each may hold a large body. Behaviour otherwise as before.

--- a/crates/hopyoke-flow/benches/engine.rs
+++ b/crates/hopyoke-flow/benches/engine.rs
@@ -5,32 +5,11 @@
     Action, Engine, Fetched, Head, JobEnd, Limits, Outcome, Plan, PlanStep, RunId, StepNo, Written,
 };
 use hopyoke_types::{JobId, Mark, Micros};
-use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use hopyoke_wire::user::JobSpec;
 use std::collections::BTreeMap;
 
 fn plan(steps: u32) -> Plan {
-    let shape = JobSpec {
-        id: JobId::new("req-0"),
-        class: "convert".into(),
-        team: "crew".into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    };
+    let shape = JobSpec::plain(JobId::new("req-0"), "convert", "crew", "img");
     // Chains of ten, beside each other.
     let after = |i: u32| if i.is_multiple_of(10) { Vec::new() } else { vec![StepNo(i - 1)] };
     let steps = (0..steps).map(|i| PlanStep {
--- a/crates/hopyoke-flow/tests/properties.rs
+++ b/crates/hopyoke-flow/tests/properties.rs
@@ -6,7 +6,7 @@
 
 use hopyoke_flow::{OnError, Plan, PlanPage, PlanStep, RunId, RunState, StepNo};
 use hopyoke_types::{JobId, Micros};
-use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use hopyoke_wire::user::JobSpec;
 use model::{FAULTS, Fate, Model};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,28 +52,7 @@
 }
 
 fn shape() -> JobSpec {
-    JobSpec {
-        id: JobId::new("req-0"),
-        class: "convert".into(),
-        team: "crew".into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    JobSpec::plain(JobId::new("req-0"), "convert", "crew", "img")
 }
 
 fn plan_of(g: &Graph) -> Plan {
--- a/crates/hopyoke-flow/tests/scenarios.rs
+++ b/crates/hopyoke-flow/tests/scenarios.rs
@@ -20,7 +20,7 @@
 
 use hopyoke_flow::{Plan, PlanStep, RunId, RunState, StepNo, job_id};
 use hopyoke_types::{JobId, Micros};
-use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use hopyoke_wire::user::JobSpec;
 use model::{FAULTS, Fate, Fault, Model};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -40,28 +40,7 @@
 }
 
 pub fn shape(team: &str) -> JobSpec {
-    JobSpec {
-        id: JobId::new("req-0"),
-        class: "convert".into(),
-        team: team.into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "img".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    JobSpec::plain(JobId::new("req-0"), "convert", team, "img")
 }
 
 /// `NAME[<DEP,DEP...][=FATE][*COUNT]`
--- a/crates/hopyoke-lab/src/flows.rs
+++ b/crates/hopyoke-lab/src/flows.rs
@@ -9,7 +9,7 @@
 use hopyoke_standin::site::{self, Site};
 use hopyoke_types::{JobId, Micros};
 use hopyoke_wes::calls::Controllers;
-use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use hopyoke_wire::user::JobSpec;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -24,28 +24,8 @@
 const TASK_S: f64 = 0.2;
 
 fn spec(id: JobId, tasks: u32) -> JobSpec {
-    JobSpec {
-        id,
-        class: "step".into(),
-        team: "crew".into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "img".into(),
-        image_gb: 0.1,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: TASK_S,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    let plain = JobSpec::plain(id, "step", "crew", "img");
+    JobSpec { tasks, image_gb: 0.1, estimate_s: TASK_S, ..plain }
 }
 
 /// So many chains of so many steps, beside each other.
--- a/crates/hopyoke-wes/src/config.rs
+++ b/crates/hopyoke-wes/src/config.rs
@@ -46,8 +46,9 @@
     2
 }
 
+/// Each may hold a submission of 8 MiB before its token is looked at.
 fn connections() -> usize {
-    256
+    64
 }
 
 impl Config {
--- a/crates/hopyoke-wes/src/main.rs
+++ b/crates/hopyoke-wes/src/main.rs
@@ -27,7 +27,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use tracing::level_filters::LevelFilter;
 
 /// Workflows in CWL v1.2 on hopyoke.
 #[derive(Parser)]
@@ -577,7 +576,7 @@
         println!("{}: no faults", file.display());
         return Ok(());
     }
-    start_log()?;
+    hopyoke::log::start()?;
     wait(move || async move {
         let listen = config.listen;
         let ready = |addr: SocketAddr| tracing::info!(%addr, "serving");
@@ -595,22 +594,3 @@
     println!("{}", Access::digest_text(token));
     Ok(())
 }
-
-/// Logs go to standard error at the level that `LOG_LEVEL` gives; `info` by default.
-fn start_log() -> Result<(), String> {
-    let level = std::env::var("LOG_LEVEL").unwrap_or_default();
-    let level = match level.as_str() {
-        "" => LevelFilter::INFO,
-        word => {
-            word.parse().map_err(|_| format!("LOG_LEVEL: '{word}' is not error, warn, info, debug or trace"))?
-        }
-    };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_target(false)
-        .without_time()
-        .init();
-    Ok(())
-}
--- a/crates/hopyoke-wes/tests/loopback.rs
+++ b/crates/hopyoke-wes/tests/loopback.rs
@@ -9,7 +9,7 @@
 use hopyoke_wes::client::Client;
 use hopyoke_wes::upload::Form;
 use hopyoke_wes::wire::{BASE, RunList, State};
-use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use hopyoke_wire::user::JobSpec;
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,28 +90,8 @@
 }
 
 fn spec(id: &str, class: &str, tasks: u32, estimate_s: f64) -> JobSpec {
-    JobSpec {
-        id: JobId::new(id),
-        class: class.into(),
-        team: "crew".into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks,
-        cpus: 4.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "ledger".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    let plain = JobSpec::plain(JobId::new(id), class, "crew", "ledger");
+    JobSpec { tasks, cpus: 4.0, estimate_s, ..plain }
 }
 
 fn tool(name: &str, estimate_s: f64) -> String {
--- a/crates/hopyoke-wire/src/user.rs
+++ b/crates/hopyoke-wire/src/user.rs
@@ -77,6 +77,33 @@
 const MAX_SPEC_BYTES: usize = 3 * 1024;
 
 impl JobSpec {
+    /// An array of one task that takes one CPU and 1 GB, runs anywhere but on spot machines, and has
+    /// nothing special about it.
+    pub fn plain(id: JobId, class: &str, team: &str, image: &str) -> JobSpec {
+        JobSpec {
+            id,
+            class: class.to_owned(),
+            team: team.to_owned(),
+            kind: JobKind::Array,
+            priority: Priority::Normal,
+            tasks: 1,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: image.to_owned(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
     /// Reads a submission. The message names the field at fault.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
         if !matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf)) {
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`mesh`]: answers peers and operators.
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
 //! - [`flow_calls`], [`flows`]: clients' calls about runs of workflows, and carrying them.
+//! - [`log`]: what our programs write to standard error.
 //! - [`replica`]: polls answered from the leader's replica.
 //! - [`records`]: jobs' records as any node reads and changes them.
 //! - [`staffed`]: the operators' word on staffed hours.
@@ -23,6 +24,7 @@
 pub mod flows;
 pub mod lead;
 pub mod links;
+pub mod log;
 pub mod mesh;
 pub mod node;
 pub mod promises;
--- a/crates/hopyoke/src/main.rs
+++ b/crates/hopyoke/src/main.rs
@@ -14,7 +14,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use tracing::level_filters::LevelFilter;
 
 /// A cluster scheduler's controller.
 #[derive(Parser)]
@@ -203,7 +202,7 @@
     let config = config.ok_or("--config FILE is needed")?;
     let settings = Settings::load(config).map_err(text)?;
     let policy = load_policy(policy)?;
-    start_log()?;
+    hopyoke::log::start()?;
     hopyoke::serve::serve(settings, policy).map_err(text)
 }
 
@@ -350,23 +349,3 @@
 fn text(error: impl Display) -> String {
     error.to_string()
 }
-
-/// Logs go to standard error at the level that `LOG_LEVEL` gives; `info` by default.
-fn start_log() -> Result<(), String> {
-    let level = match std::env::var("LOG_LEVEL").as_deref() {
-        Ok("error") => LevelFilter::ERROR,
-        Ok("warn") => LevelFilter::WARN,
-        Ok("info") | Ok("") | Err(_) => LevelFilter::INFO,
-        Ok("debug") => LevelFilter::DEBUG,
-        Ok("trace") => LevelFilter::TRACE,
-        Ok(other) => return Err(format!("LOG_LEVEL: '{other}' is not error, warn, info, debug or trace")),
-    };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_target(false)
-        .without_time()
-        .init();
-    Ok(())
-}
--- a/crates/hopyoke/src/questions.rs
+++ b/crates/hopyoke/src/questions.rs
@@ -1,7 +1,7 @@
 //! Operators' questions about learned run times. Any node takes them; the leader answers.
 
-use crate::links::GREET;
 use crate::links::proto::{HistoryAnswer, HistoryRequest, WhenAnswer, WhenRequest};
+use crate::links::{GREET, PeerLink};
 use crate::node::Node;
 use hopyoke_core::{Ask, Past};
 use hopyoke_history::{Run, Writer};
@@ -34,18 +34,24 @@
         };
     }
     let refused = |error: &str| WhenAnswer { error: error.to_owned(), ..WhenAnswer::default() };
-    if !request.node.is_empty() {
-        return refused("the node that was asked does not lead");
-    }
-    request.node.clone_from(&node.settings.node);
-    let leader = node.leader.borrow().clone();
-    let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) else {
-        return refused("nobody leads now");
+    let link = match leader(node, &request.node) {
+        Ok(l) => l,
+        Err(why) => return refused(why),
     };
+    request.node.clone_from(&node.settings.node);
     let answer = link.call(ANSWER, |mut c| async move { c.when(request).await }).await;
     answer.unwrap_or_else(|| refused("the leader did not answer"))
 }
 
+/// The node that leads, for a question that nobody has passed on yet.
+fn leader<'a>(node: &'a Node, passed_on_by: &str) -> Result<&'a PeerLink, &'static str> {
+    if !passed_on_by.is_empty() {
+        return Err("the node that was asked does not lead");
+    }
+    let leader = node.leader.borrow().clone();
+    leader.as_deref().and_then(|l| node.links.by_name(l)).ok_or("nobody leads now")
+}
+
 /// Runs that have ended.
 pub async fn history(node: &Node, mut request: HistoryRequest) -> HistoryAnswer {
     if let Some(leading) = node.leading() {
@@ -65,14 +71,11 @@
         return HistoryAnswer { error: String::new(), csv: writer.text(), token, last, more };
     }
     let refused = |error: &str| HistoryAnswer { error: error.to_owned(), ..HistoryAnswer::default() };
-    if !request.node.is_empty() {
-        return refused("the node that was asked does not lead");
-    }
-    request.node.clone_from(&node.settings.node);
-    let leader = node.leader.borrow().clone();
-    let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) else {
-        return refused("nobody leads now");
+    let link = match leader(node, &request.node) {
+        Ok(l) => l,
+        Err(why) => return refused(why),
     };
+    request.node.clone_from(&node.settings.node);
     let answer = link.call(ANSWER, |mut c| async move { c.history(request).await }).await;
     answer.unwrap_or_else(|| refused("the leader did not answer"))
 }
