--- a/crates/hopyoke-runtime/src/http/server.rs
+++ b/crates/hopyoke-runtime/src/http/server.rs
@@ -13,6 +13,10 @@
 #[derive(Clone, Copy)]
 pub struct Limits {
     pub connections: usize,
+    /// With more open than this, each is closed after its answer: a peer that comes now and then
+    /// holds a socket only while it asks. (Guards against peers that find no room because others
+    /// sit idle.)
+    pub crowded: usize,
     /// An idle connection is closed after this.
     pub idle: Micros,
     /// A request must be complete this long after its first byte.
@@ -42,10 +46,10 @@
         }
         open.set(open.get() + 1);
         let guard = Open(open.clone());
-        let handler = handler.clone();
+        let (handler, open) = (handler.clone(), open.clone());
         runtime::spawn_until(cancel.clone(), async move {
             let _guard = guard;
-            connection(stream, limits, handler).await;
+            connection(stream, limits, &open, handler).await;
         });
     }
 }
@@ -63,7 +67,7 @@
     error: &'a str,
 }
 
-async fn connection(stream: TcpStream, limits: Limits, handler: Handler) {
+async fn connection(stream: TcpStream, limits: Limits, open: &Cell<usize>, handler: Handler) {
     let mut reader = Reader::default();
     loop {
         if !reader.has_some() {
@@ -84,7 +88,7 @@
         };
         let close = request.close;
         let mut response = handler(request).await;
-        response.close |= close;
+        response.close |= close || open.get() > limits.crowded;
         match runtime::timeout(limits.request, stream.write_all(&response.encode())).await {
             Ok(Ok(())) if !response.close => {}
             _ => return,
--- a/crates/hopyoke-standin/src/lib.rs
+++ b/crates/hopyoke-standin/src/lib.rs
@@ -26,8 +26,13 @@
 {
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let addr = listener.local_addr()?;
-    let limits =
-        Limits { connections: 4000, idle: Micros::from_secs(600), request: Micros::from_secs(30), body: 1 << 20 };
+    let limits = Limits {
+        connections: 4000,
+        crowded: 4000,
+        idle: Micros::from_secs(600),
+        request: Micros::from_secs(30),
+        body: 1 << 20,
+    };
     let handler = Rc::new(move |request: Request| Box::pin(handler(request)) as _);
     let end = cancel.clone();
     runtime::spawn_until(cancel.clone(), async move { http::serve(listener, limits, end, handler).await });
--- a/crates/hopyoke-wes/src/server.rs
+++ b/crates/hopyoke-wes/src/server.rs
@@ -84,6 +84,7 @@
         ready(listener.local_addr()?);
         let limits = Limits {
             connections: self.config.connections,
+            crowded: self.config.connections / 2,
             idle: Micros::from_secs(60),
             request: Micros::from_secs(20),
             body: MOST_BODY,
--- a/crates/hopyoke/src/serve.rs
+++ b/crates/hopyoke/src/serve.rs
@@ -37,9 +37,11 @@
         }
         runtime::spawn_until(node.cancel.clone(), probe_state(node.clone()));
         flows::start(&node);
+        // Leave sockets for the state service, the cloud, workers and the mesh.
+        let connections = node.settings.facts.limits.max_connections * 3 / 4;
         let limits = Limits {
-            // Leave sockets for the state service, the cloud, workers and the mesh.
-            connections: node.settings.facts.limits.max_connections * 3 / 4,
+            connections,
+            crowded: connections * 9 / 10,
             idle: Micros::from_secs(90),
             request: Micros::from_secs(10),
             body: 64 * 1024,
--- a/crates/hopyoke/tests/checks/mod.rs
+++ b/crates/hopyoke/tests/checks/mod.rs
@@ -107,27 +107,37 @@
     }
 }
 
-/// `http "RAW" -> STATUS [close]`: raw bytes to the real server on loopback.
+/// `http [crowded] "RAW" -> STATUS [close]`: raw bytes to the real server on loopback; crowded: more
+/// connections are open than are kept.
 fn http(line: &str) -> Result<(), String> {
     let (raw, want) = line.trim_start_matches("http").rsplit_once("->").ok_or("no ->")?;
+    let (raw, crowded) = match raw.trim().strip_prefix("crowded") {
+        Some(r) => (r, 0),
+        None => (raw, 8),
+    };
     let raw = raw.trim().trim_matches('"').replace("\\r\\n", "\r\n").replace("<32K>", &"a".repeat(32 * 1024));
     let want = want.trim().to_owned();
     let out = Rc::new(RefCell::new(Err("no answer".to_owned())));
     let result = out.clone();
     runtime::run(async move {
-        *result.borrow_mut() = exchange(raw, &want).await;
+        *result.borrow_mut() = exchange(raw, crowded, &want).await;
     })
     .map_err(|e| e.to_string())?;
     out.replace(Err(String::new()))
 }
 
-async fn exchange(raw: String, want: &str) -> Result<(), String> {
+async fn exchange(raw: String, crowded: usize, want: &str) -> Result<(), String> {
     let io = |e: std::io::Error| e.to_string();
     let listener = TcpListener::bind("127.0.0.1:0".parse().expect("an address")).map_err(io)?;
     let addr = listener.local_addr().map_err(io)?;
     let cancel = Cancel::new();
-    let limits =
-        Limits { connections: 8, idle: Micros::from_secs(2), request: Micros::from_secs(2), body: 64 * 1024 };
+    let limits = Limits {
+        connections: 8,
+        crowded,
+        idle: Micros::from_secs(2),
+        request: Micros::from_secs(2),
+        body: 64 * 1024,
+    };
     let handler = Rc::new(|r: Request| -> futures_util::future::LocalBoxFuture<'static, Response> {
         Box::pin(async move { Response::of(200, &r.body.len()) })
     });
