Following the records in a module of its own; one telling of a run's state; dead code gone

Need: found on a reading of the whole change: modules lead and replica named each other, as did node and replica; the parsing of a record's key stood twice, a run's state and progress were told from a controller's word twice, and the letters of a progress page were known outside of its package. Change: module follow (watch, questions, hints, and the records' keys); replica is the state alone; State::of_run and Progress::of_run; StepPage::done_alone; functions that nothing called are gone. Behaviour as before.

--- a/crates/hopyoke-calendar/src/hold.rs
+++ b/crates/hopyoke-calendar/src/hold.rs
@@ -38,10 +38,6 @@
             })
         })
     }
-
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
 }
 
 fn condition(text: &str) -> Result<Condition, CalendarFault> {
--- a/crates/hopyoke-cwl/src/expand.rs
+++ b/crates/hopyoke-cwl/src/expand.rs
@@ -1,6 +1,6 @@
 //! A checked document and its inputs into a plan: every task that will run, and what each waits for.
 
-use crate::command::{self, Description, IN_DIR, OUT_DIR, Wrong, amount, describe};
+use crate::command::{Description, IN_DIR, OUT_DIR, Wrong, amount, describe};
 use crate::expr::{EvalError, Evaluator, Names, find_later, is_later, later};
 use crate::fault::{Faults, Pos};
 use crate::hints::{self, Scheduling};
@@ -945,8 +945,3 @@
     }
     Bound { value: place(bound.value, &format!("{IN_DIR}/{id}")), deps: bound.deps }
 }
-
-/// The description of each task of a job, as workers fetch it: a list by the task's number.
-pub fn descriptions(tasks: &[command::Description]) -> Value {
-    serde_json::to_value(tasks).unwrap_or_default()
-}
--- a/crates/hopyoke-flow/src/engine.rs
+++ b/crates/hopyoke-flow/src/engine.rs
@@ -38,18 +38,6 @@
     },
 }
 
-impl Action {
-    pub fn run(&self) -> RunId {
-        match self {
-            Action::Claim { run }
-            | Action::Fetch { run, .. }
-            | Action::Submit { run, .. }
-            | Action::Withdraw { run, .. }
-            | Action::Write { run, .. } => *run,
-        }
-    }
-}
-
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobEnd {
@@ -505,11 +493,6 @@
         r.body.as_ref().filter(|_| r.phase == Phase::Carrying).map(Body::progress)
     }
 
-    /// Runs that this node carries.
-    pub fn carries(&self) -> usize {
-        self.carried
-    }
-
     /// Runs, steps and pages looked at so far.
     pub fn looks(&self) -> u64 {
         self.looks
--- a/crates/hopyoke-flow/src/record.rs
+++ b/crates/hopyoke-flow/src/record.rs
@@ -177,6 +177,16 @@
         StepPage { marks, tries }
     }
 
+    /// The page of a run that goes on from what this one had done, under ids of its own.
+    pub fn done_alone(&self) -> StepPage {
+        let letter = |b: u8| match StepMark::of_letter(b) {
+            StepMark::Done => StepMark::Done,
+            _ => StepMark::Open,
+        };
+        let marks = self.marks.bytes().map(|b| letter(b).letter() as char).collect();
+        StepPage { marks, tries: BTreeMap::new() }
+    }
+
     /// The marks and tries that the page records, from its first step on.
     pub fn read(&self, page: u32) -> impl Iterator<Item = (StepNo, StepMark, u8)> + '_ {
         let first = page * STEPS_PER_PAGE;
--- a/crates/hopyoke-standin/src/worker.rs
+++ b/crates/hopyoke-standin/src/worker.rs
@@ -10,8 +10,7 @@
 use hopyoke_wire::user::{JobKind, JobSpec};
 use hopyoke_wire::worker::{DirectOrders, ExitReason, Order, Orders, Report, TaskReport, TaskState};
 use serde::Deserialize;
-use serde_json::json;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
@@ -101,8 +100,6 @@
     works: Rc<Works>,
     inner: RefCell<Inner>,
     changed: Bell,
-    cancel: Cancel,
-    reports: Cell<u64>,
 }
 
 #[derive(Deserialize)]
@@ -147,8 +144,6 @@
             works,
             inner: RefCell::new(inner),
             changed: Bell::default(),
-            cancel: cancel.clone(),
-            reports: Cell::new(0),
         });
         *slot.borrow_mut() = Some(worker.clone());
         runtime::spawn_until(cancel.clone(), worker.clone().report_on());
@@ -224,7 +219,6 @@
             let report = self.report();
             let (sent, session) = (runtime::now(), report.session);
             let body = hopyoke_wire::encode(&report);
-            self.reports.set(self.reports.get() + 1);
             match c.send(Method::Post, "/hello", &body, Micros::from_secs(4)).await {
                 Ok(r) if r.status == 200 => {
                     if let Ok(orders) = decode::<Orders>(&r.body) {
@@ -419,14 +413,3 @@
         self.changed.ring();
     }
 }
-
-/// For status pages: how often a worker has reported.
-impl std::fmt::Display for Worker {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "{}",
-            json!({ "machine": self.id, "reports": self.reports.get(), "ends": self.cancel.is_cancelled() })
-        )
-    }
-}
--- a/crates/hopyoke-wes/src/main.rs
+++ b/crates/hopyoke-wes/src/main.rs
@@ -412,11 +412,11 @@
         match self {
             Whom::Service(c) => {
                 let s = c.status(run).await?;
-                Ok((s.state, s.progress.unwrap_or(Progress { steps: 0, done: 0, in_flight: 0 })))
+                Ok((s.state, s.progress.unwrap_or_default()))
             }
             Whom::Mesh(c, patience) => {
                 let (info, _) = asked(c, run, 0, *patience).await?;
-                Ok((state_of(&info), progress_of(&info)))
+                Ok((State::of_run(&info), Progress::of_run(&info)))
             }
         }
     }
@@ -432,7 +432,12 @@
             Whom::Mesh(c, patience) => {
                 let (info, outputs) = asked(c, run, 1, *patience).await?;
                 let outputs = serde_json::from_str(&outputs).unwrap_or(Value::Null);
-                Ok(Told { state: state_of(&info), progress: progress_of(&info), reason: info.reason, outputs })
+                Ok(Told {
+                    state: State::of_run(&info),
+                    progress: Progress::of_run(&info),
+                    reason: info.reason,
+                    outputs,
+                })
             }
         }
     }
@@ -446,14 +451,6 @@
     Ok((info, answer.outputs))
 }
 
-fn state_of(info: &RunInfo) -> State {
-    State::of_run(&info.state, info.done > 0 || info.in_flight > 0 || info.steps == 0)
-}
-
-fn progress_of(info: &RunInfo) -> Progress {
-    Progress { steps: info.steps, done: info.done, in_flight: info.in_flight }
-}
-
 struct How {
     quiet: bool,
     detach: bool,
--- a/crates/hopyoke-wes/src/server.rs
+++ b/crates/hopyoke-wes/src/server.rs
@@ -266,8 +266,8 @@
 
     async fn status(&self, client: &Client, run: &str) -> Answer {
         let (id, info, _) = self.run(client, run, 0, 0).await?;
-        let progress = Some(Progress { steps: info.steps, done: info.done, in_flight: info.in_flight });
-        Ok(json(200, &RunStatus { run_id: id.to_string(), state: state(&info), progress }))
+        let progress = Some(Progress::of_run(&info));
+        Ok(json(200, &RunStatus { run_id: id.to_string(), state: State::of_run(&info), progress }))
     }
 
     async fn log(&self, client: &Client, run: &str) -> Answer {
@@ -278,7 +278,7 @@
             200,
             &RunLog {
                 run_id: id.to_string(),
-                state: state(&info),
+                state: State::of_run(&info),
                 request: RunRequest {
                     workflow_type: "CWL".into(),
                     workflow_type_version: "v1.2".into(),
@@ -332,7 +332,7 @@
             .iter()
             .map(|info| RunSummary {
                 run_id: RunId::folded(info.run).to_string(),
-                state: state(info),
+                state: State::of_run(info),
                 start_time: time(info.submitted_us),
                 end_time: time(info.ended_us),
                 tags: info.tags.clone().into_iter().collect(),
@@ -365,10 +365,6 @@
     }
 }
 
-fn state(info: &RunInfo) -> State {
-    State::of_run(&info.state, info.done > 0 || info.in_flight > 0 || info.steps == 0)
-}
-
 fn task_log(s: &StepInfo) -> TaskLog {
     TaskLog {
         id: if s.job.is_empty() { format!("step-{}", s.number) } else { s.job.clone() },
--- a/crates/hopyoke-wes/src/wire.rs
+++ b/crates/hopyoke-wes/src/wire.rs
@@ -1,5 +1,6 @@
 //! Messages of the GA4GH Workflow Execution Service 1.1, as published.
 
+use hopyoke::links::proto::RunInfo;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
@@ -29,9 +30,10 @@
         matches!(self, State::Complete | State::ExecutorError | State::SystemError | State::Canceled)
     }
 
-    /// Of a run by the controllers' word, and whether anything of it has started.
-    pub fn of_run(word: &str, begun: bool) -> State {
-        match word {
+    /// Of a run as the controllers tell of it.
+    pub fn of_run(info: &RunInfo) -> State {
+        let begun = info.done > 0 || info.in_flight > 0 || info.steps == 0;
+        match info.state.as_str() {
             "running" if !begun => State::Queued,
             "running" | "failing" => State::Running,
             "cancelling" => State::Canceling,
@@ -64,13 +66,19 @@
 }
 
 /// Steps of a run.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Progress {
     pub steps: u32,
     pub done: u32,
     pub in_flight: u32,
 }
 
+impl Progress {
+    pub fn of_run(info: &RunInfo) -> Progress {
+        Progress { steps: info.steps, done: info.done, in_flight: info.in_flight }
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RunSummary {
     pub run_id: String,
--- a/crates/hopyoke/src/flow_calls.rs
+++ b/crates/hopyoke/src/flow_calls.rs
@@ -2,6 +2,7 @@
 //! told is written before it is answered.
 
 use crate::flows::{Value, head_of, pages_of, plan_of};
+use crate::follow::job_id_of;
 use crate::links::proto::flow_request::Ask;
 use crate::links::proto::{
     FlowAnswer, FlowRequest, ResumeRun, RunInfo, RunList, RunQuestion, StepInfo, SubmitRun,
@@ -13,7 +14,7 @@
 };
 use hopyoke_core::{JobRecord, never_runs};
 use hopyoke_flow::{
-    Head, OnError, Plan, PlanPage, RunId, RunState, StepMark, StepNo, StepPage, job_id, job_prefix, parts_of,
+    Head, OnError, Plan, PlanPage, RunId, RunState, StepMark, StepNo, job_id, job_prefix, parts_of,
 };
 use hopyoke_runtime as runtime;
 use hopyoke_types::{JobId, Mark, Micros};
@@ -254,7 +255,7 @@
     if !head.state.is_final() {
         let (jobs, _) = node.state.list::<JobRecord>(&format!("job/{}", job_prefix(run))).await?;
         let ours = jobs.iter().filter(|p| matches!(&p.value, Stored::Value(r) if r.flow));
-        submitted.extend(ours.filter_map(|p| Some(parts_of(&JobId::parse(p.key.strip_prefix("job/")?)?)?.1)));
+        submitted.extend(ours.filter_map(|p| Some(parts_of(&job_id_of(&p.key)?)?.1)));
     }
     let done = marks.iter().filter(|m| m.0 == StepMark::Done).count() as u32;
     let word = |step: StepNo, mark: StepMark| match mark {
@@ -391,13 +392,8 @@
     // What is done stays done: its marks are the new run's before it begins.
     let rate = flows.engine.borrow().limits.writes_per_s.max(0.5);
     for (page, _, value) in pages_of(node, old).await? {
-        let marks = value.read(page).map(|(_, mark, _)| if mark == StepMark::Done { 'd' } else { '.' }).collect();
         let key = flow_page_key(run, page);
-        let change = Change::Put {
-            key: key.clone(),
-            value: Value::Page(StepPage { marks, ..StepPage::default() }),
-            lease: None,
-        };
+        let change = Change::Put { key: key.clone(), value: Value::Page(value.done_alone()), lease: None };
         let conditions = vec![
             Condition { key: flow_key(run), mark: Mark(0) },
             Condition { key: flow_end_key(run), mark: Mark(0) },
--- /dev/null
+++ b/crates/hopyoke/src/follow.rs
@@ -0,0 +1,145 @@
+//! Keeps the leader's core up to the jobs' records: by a watch, by questions for reads that wait, and
+//! by other nodes' hints.
+
+use crate::node::{Leading, Node};
+use crate::state::{JOBS, StateError, job_key};
+use hopyoke_core::JobRecord;
+use hopyoke_runtime as runtime;
+use hopyoke_types::{JobId, Mark, Micros};
+use hopyoke_wire::state::{Events, Pair, Stored};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use tracing::{debug, warn};
+
+/// Longest wait of the leader's watch: how long news of a cancellation can take if an answer is
+/// lost.
+pub const WATCH: Micros = Micros::from_secs(2);
+
+/// Learns of jobs that other nodes accept or cancel.
+pub async fn watch(node: Rc<Node>, leading: Rc<Leading>) {
+    loop {
+        let sent = runtime::now();
+        let since = leading.replica.applied.get();
+        let result: Result<Events<JobRecord>, _> = node.state.changes(JOBS, since, WATCH).await;
+        match result {
+            Ok(events) => apply(&leading, events, sent),
+            Err(StateError::Gone) => match node.state.list::<JobRecord>(JOBS).await {
+                Ok((pairs, revision)) => {
+                    let now = runtime::now();
+                    let mut core = leading.core.borrow_mut();
+                    let listed: BTreeSet<JobId> = pairs.iter().filter_map(|p| job_id_of(&p.key)).collect();
+                    // A job that is newer than the list has come by a nudge or a question meanwhile.
+                    // (Guards `forgotten`: it would be taken for over.)
+                    let old = |id: &JobId| core.jobs.get(id).is_some_and(|j| j.mark.0 <= revision);
+                    let gone: Vec<JobId> =
+                        core.job_ids().into_iter().filter(|id| !listed.contains(id) && old(id)).collect();
+                    for id in gone {
+                        core.job_dropped(&id);
+                    }
+                    for (id, record, mark) in pairs.into_iter().filter_map(job_of) {
+                        core.job_seen(id, record, mark, now);
+                    }
+                    leading.replica.applied.set(revision);
+                    leading.right.borrow_mut().heard(sent);
+                    leading.bell.ring();
+                }
+                Err(_) => runtime::sleep(Micros::from_millis(300)).await,
+            },
+            Err(e) => {
+                debug!(error = %e, "watch failed");
+                runtime::sleep(Micros::from_millis(200)).await;
+            }
+        }
+    }
+}
+
+/// Asks, whenever reads wait.
+pub async fn ask(node: Rc<Node>, leading: Rc<Leading>) {
+    let replica = &leading.replica;
+    loop {
+        let due = replica.reads.borrow().due();
+        let Some(due) = due else {
+            replica.bell.wait().await;
+            continue;
+        };
+        runtime::sleep_until(due).await;
+        let question = replica.reads.borrow_mut().ask(runtime::now());
+        let Some(question) = question else {
+            replica.wake();
+            continue;
+        };
+        let sent = runtime::now();
+        let since = replica.applied.get();
+        let result: Result<Events<JobRecord>, StateError> =
+            node.state.changes(JOBS, since.max(1), Micros::ZERO).await;
+        match result {
+            Ok(events) => {
+                apply(&leading, events, sent);
+                replica.reads.borrow_mut().answered(question, runtime::now());
+            }
+            // If the revision is too old, the watch reads all records again.
+            Err(e) => {
+                debug!(error = %e, "no answer for reads that wait");
+                replica.reads.borrow_mut().failed(question, rand::random(), runtime::now());
+            }
+        }
+        replica.wake();
+    }
+}
+
+/// Brings the core up to what the state service said. Events may come twice, by the watch and by a
+/// question: those of a mark that is known change nothing, and a job that is over stays over.
+pub fn apply(leading: &Leading, events: Events<JobRecord>, sent: Micros) {
+    let now = runtime::now();
+    leading.right.borrow_mut().heard(sent);
+    let any = !events.events.is_empty();
+    let mut core = leading.core.borrow_mut();
+    for e in events.events {
+        if let Some(id) = e.drop.as_deref().and_then(job_id_of) {
+            core.job_dropped(&id);
+        } else if let (Some(key), Some(value)) = (e.put, e.value)
+            && let Some((id, record, mark)) = job_of(Pair { key, value, mark: e.mark })
+        {
+            core.job_seen(id, record, mark, now);
+        }
+    }
+    drop(core);
+    let applied = &leading.replica.applied;
+    applied.set(applied.get().max(events.revision));
+    if any {
+        leading.bell.ring();
+    }
+}
+
+/// Reads one job's record because another node says that it has changed. If that fails, the
+/// watch still tells.
+pub async fn read_news(node: &Rc<Node>, leading: &Leading, id: JobId) {
+    let Ok(found) = node.state.get::<JobRecord>(&job_key(&id)).await else { return };
+    let mut core = leading.core.borrow_mut();
+    match found {
+        Some((Stored::Value(record), mark)) => core.job_seen(id, record, mark, runtime::now()),
+        Some((Stored::Unreadable(_), _)) => warn!(job = %id, "unreadable record"),
+        // Only a job that we know can have ended: a hint about another one changes nothing.
+        None if core.jobs.contains_key(&id) => core.job_dropped(&id),
+        None => {}
+    }
+    drop(core);
+    leading.bell.ring();
+}
+
+pub(crate) fn job_of(pair: Pair<JobRecord>) -> Option<(JobId, JobRecord, Mark)> {
+    let id = JobId::parse(pair.key.strip_prefix(JOBS)?)?;
+    match pair.value {
+        Stored::Value(record) => Some((id, record, pair.mark)),
+        Stored::Unreadable(_) => {
+            // Never fatal, and the job still exists for its user.
+            warn!(job = %id, "unreadable record");
+            None
+        }
+    }
+}
+
+/// The job whose unfinished record a key is.
+pub(crate) fn job_id_of(key: &str) -> Option<JobId> {
+    JobId::parse(key.strip_prefix(JOBS)?)
+}
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -1,8 +1,9 @@
 //! Leadership: one node leads, named by a key on its lease in the state service. It leases all
 //! blocks to itself, takes over the records, and runs the core.
 
+use crate::follow::{self, WATCH, job_id_of, job_of};
 use crate::node::{Leading, Node};
-use crate::replica::{self, Replica};
+use crate::replica::Replica;
 use crate::state::{
     FLEET, JOBS, LEADER, LEARNED, StateError, TxnEnd, block_key, end_key, fleet_key, job_key, learned_key,
 };
@@ -13,9 +14,9 @@
 use hopyoke_policy::Figures;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_types::Micros;
-use hopyoke_types::{JobId, Mark, Token};
+use hopyoke_types::{Mark, Token};
 use hopyoke_wire::cloud::Rent;
-use hopyoke_wire::state::{Change, Condition, Events, Pair, Stored};
+use hopyoke_wire::state::{Change, Condition};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -27,10 +28,6 @@
     node: String,
 }
 
-/// Longest wait of the leader's watch: how long news of a cancellation can take if an answer is
-/// lost.
-const WATCH: Micros = Micros::from_secs(2);
-
 fn jitter(most: Micros) -> Micros {
     Micros(rand::random_range(0..=most.0))
 }
@@ -170,8 +167,8 @@
         plans_may: node.settings.facts.limits.cpu_share,
     });
     *node.leading.borrow_mut() = Some(leading.clone());
-    runtime::spawn_until(cancel.clone(), watch_jobs(node.clone(), leading.clone()));
-    runtime::spawn_until(cancel.clone(), replica::ask(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), follow::watch(node.clone(), leading.clone()));
+    runtime::spawn_until(cancel.clone(), follow::ask(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), write_records(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), list_machines(node.clone(), leading.clone()));
     runtime::spawn_until(cancel.clone(), staffed::follow(node.clone(), leading.clone()));
@@ -257,18 +254,6 @@
     Some((core, revision))
 }
 
-pub(crate) fn job_of(pair: Pair<JobRecord>) -> Option<(JobId, JobRecord, Mark)> {
-    let id = JobId::parse(pair.key.strip_prefix(JOBS)?)?;
-    match pair.value {
-        Stored::Value(record) => Some((id, record, pair.mark)),
-        Stored::Unreadable(_) => {
-            // Never fatal, and the job still exists for its user.
-            warn!(job = %id, "unreadable record");
-            None
-        }
-    }
-}
-
 async fn retry<T, F, G>(mut f: F) -> Option<T>
 where
     F: FnMut() -> G,
@@ -284,65 +269,6 @@
     None
 }
 
-/// Learns of jobs that other nodes accept or cancel.
-async fn watch_jobs(node: Rc<Node>, leading: Rc<Leading>) {
-    loop {
-        let sent = runtime::now();
-        let since = leading.replica.applied.get();
-        let result: Result<Events<JobRecord>, _> = node.state.changes(JOBS, since, WATCH).await;
-        match result {
-            Ok(events) => replica::apply(&leading, events, sent),
-            Err(StateError::Gone) => match node.state.list::<JobRecord>(JOBS).await {
-                Ok((pairs, revision)) => {
-                    let now = runtime::now();
-                    let mut core = leading.core.borrow_mut();
-                    let listed: std::collections::BTreeSet<JobId> =
-                        pairs.iter().filter_map(|p| job_id_of(&p.key)).collect();
-                    // A job that is newer than the list has come by a nudge or a question meanwhile.
-                    // (Guards `forgotten`: it would be taken for over.)
-                    let old = |id: &JobId| core.jobs.get(id).is_some_and(|j| j.mark.0 <= revision);
-                    let gone: Vec<JobId> =
-                        core.job_ids().into_iter().filter(|id| !listed.contains(id) && old(id)).collect();
-                    for id in gone {
-                        core.job_dropped(&id);
-                    }
-                    for (id, record, mark) in pairs.into_iter().filter_map(job_of) {
-                        core.job_seen(id, record, mark, now);
-                    }
-                    leading.replica.applied.set(revision);
-                    leading.right.borrow_mut().heard(sent);
-                    leading.bell.ring();
-                }
-                Err(_) => runtime::sleep(Micros::from_millis(300)).await,
-            },
-            Err(e) => {
-                debug!(error = %e, "watch failed");
-                runtime::sleep(Micros::from_millis(200)).await;
-            }
-        }
-    }
-}
-
-/// Reads one job's record because another node says that it has changed. If that fails, the
-/// watch still tells.
-pub async fn read_news(node: &Rc<Node>, leading: &Leading, id: JobId) {
-    let Ok(found) = node.state.get::<JobRecord>(&job_key(&id)).await else { return };
-    let mut core = leading.core.borrow_mut();
-    match found {
-        Some((Stored::Value(record), mark)) => core.job_seen(id, record, mark, runtime::now()),
-        Some((Stored::Unreadable(_), _)) => warn!(job = %id, "unreadable record"),
-        // Only a job that we know can have ended: a hint about another one changes nothing.
-        None if core.jobs.contains_key(&id) => core.job_dropped(&id),
-        None => {}
-    }
-    drop(core);
-    leading.bell.ring();
-}
-
-fn job_id_of(key: &str) -> Option<JobId> {
-    JobId::parse(key.strip_prefix(JOBS)?)
-}
-
 /// Writes what the core wants recorded, one batch at a time.
 async fn write_records(node: Rc<Node>, leading: Rc<Leading>) {
     loop {
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -8,11 +8,12 @@
 //! - [`api`], [`lead`], [`workers`], [`status`]: users, leadership, workers, what operators see.
 //! - [`flow_calls`], [`flows`]: clients' calls about runs of workflows, and carrying them.
 //! - [`log`]: what our programs write to standard error.
-//! - [`replica`]: polls answered from the leader's replica.
+//! - [`follow`]: keeps the leader's core up to the records.
 //! - [`records`]: jobs' records as any node reads and changes them.
 //! - [`staffed`]: the operators' word on staffed hours.
 //! - [`questions`]: operators' questions about run times.
 //! - [`tuning`]: the operators' settings and the core's tuning.
+//! - [`replica`]: how far a core is known to follow the records.
 //! - [`node`]: what the routines of one node share.
 //! - [`links`], [`finals`], [`promises`], [`state`], [`cloud`]: calls to peers, remembered final
 //!   states, promises to peers, clients of the state service and the cloud.
@@ -22,6 +23,7 @@
 pub mod finals;
 pub mod flow_calls;
 pub mod flows;
+pub mod follow;
 pub mod lead;
 pub mod links;
 pub mod log;
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -198,7 +198,7 @@
             }
             let _ = reply.send(self::greeting(node, false));
             if let (Some(id), Some(leading)) = (JobId::parse(&news.job), node.leading()) {
-                crate::lead::read_news(node, &leading, id).await;
+                crate::follow::read_news(node, &leading, id).await;
             }
         }
         Call::Forward(message, reply) => {
