A recovery ends only when every machine that may hold tasks is accounted for

Change: time ends a recovery only for pages that can't be read; a report that shows an older token later than a lease, the margin and 4 s after the grant is of a session nobody else commanded. Direct orders ask for the entitlement again when their connection stands. Starts and attempts found are in the log at debug.

--- a/crates/hopyoke-core/src/fleet.rs
+++ b/crates/hopyoke-core/src/fleet.rs
@@ -123,6 +123,8 @@
     pub token_seen: Token,
     /// Rented by this leader: no earlier holder can have commanded it.
     pub ours: bool,
+    /// Its session began after our grant: no earlier holder can have commanded it either.
+    pub young_session: bool,
     pub last_seen: Micros,
     /// By now the session has ended, unless we answer another of its reports.
     pub lease_end: Micros,
@@ -171,6 +173,7 @@
             seq: 0,
             token_seen: Token(0),
             ours: false,
+            young_session: false,
             last_seen: now,
             lease_end: Micros::ZERO,
             notice: None,
@@ -197,7 +200,7 @@
 
     /// Commands of earlier holders can no longer be executed on it.
     pub fn settled(&self, token: Token) -> bool {
-        self.ours || self.token_seen >= token
+        self.ours || self.young_session || self.token_seen >= token
     }
 
     pub fn slots(&self) -> &BTreeMap<(TaskId, Attempt), Slot> {
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -139,6 +139,9 @@
 /// takes; at the highest rate of changes this many ends take minutes.
 const MOST_ENDED: usize = 4096;
 
+/// A worker takes an answer no later than this after it sent its report.
+const ANSWER_LIMIT: Micros = Micros::from_millis(4_010);
+
 /// How often machines are looked at for what only time brings.
 const SWEEP: Micros = Micros::from_millis(100);
 
@@ -437,22 +440,22 @@
     /// having seen our token, its session has lapsed, or the cloud confirmed its deletion. Tasks
     /// are only ever started on registered machines, so what nobody reported by then is nowhere.
     /// (Guards `ran_twice` and `quota`.)
+    ///
+    /// Time alone ends it only for machines on pages that can't be read: whoever we have answered
+    /// lives on, and an order of an earlier holder may have reached it between its report and our
+    /// answer. (Scenario recovery_outlasts_leases.)
     fn note_recovery(&mut self, now: Micros) {
         if !self.recovering {
             return;
         }
-        let open = self.machines.values().filter(|m| m.registered && self.unaccounted(m)).count()
-            + usize::from(self.register.blind());
-        if open == 0 || now >= self.started + self.cfg.lease_bound() {
+        let blind = self.register.blind();
+        let may_hold = |m: &Machine| m.registered || (blind && m.phase == Phase::Up);
+        let open = self.machines.values().filter(|m| may_hold(m) && self.unaccounted(m)).count();
+        if open == 0 && (!blind || now >= self.started + self.cfg.lease_bound()) {
             self.recovering = false;
             self.changed = true;
             self.register.recovered();
-            info!(
-                token = self.token.0,
-                after_ms = (now - self.started).as_millis(),
-                unaccounted = open,
-                "recovered"
-            );
+            info!(token = self.token.0, after_ms = (now - self.started).as_millis(), "recovered");
         }
     }
 
@@ -460,6 +463,14 @@
         m.phase != Phase::Lost && !m.settled(self.token)
     }
 
+    /// A new report that still shows an older token, from now on, is of a session that began after our
+    /// grant: one that is older was over when its lease ran out unless it took an answer of ours, and
+    /// then it would show our token. No earlier holder can have commanded such a session.
+    /// (An answer counts for reports sent up to [`ANSWER_LIMIT`] before it.)
+    pub(crate) fn old_sessions_are_over(&self, now: Micros) -> bool {
+        now >= self.started + self.cfg.lease_bound() + ANSWER_LIMIT
+    }
+
     fn new_request(&mut self) -> String {
         self.counter += 1;
         format!("hy-{}-{}", self.token, self.counter)
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -8,7 +8,7 @@
 use hopyoke_wire::user::{JobKind, JobSpec};
 use hopyoke_wire::worker::{ExitReason, Order, Report, TaskReport, TaskState};
 use std::rc::Rc;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// What to answer to a report.
 #[derive(Debug, PartialEq)]
@@ -103,6 +103,7 @@
             m.lease_end = now + self.cfg.lease_bound();
             self.machines.insert(id.clone(), m);
         }
+        let old_sessions_are_over = self.old_sessions_are_over(now);
         let Some(m) = self.machines.get_mut(id) else { return false };
         // Reports can arrive late: only the newest counts.
         if (report.session, report.seq) <= (m.session, m.seq) {
@@ -114,6 +115,7 @@
         m.session = report.session;
         m.seq = report.seq;
         m.token_seen = m.token_seen.max(report.token);
+        m.young_session |= hello && old_sessions_are_over;
         self.changed |= back || was_settled != m.settled(self.token);
         if !m.registered {
             self.register.want(id);
@@ -168,6 +170,7 @@
             }
             self.place_add(id, &key.0, t.attempt);
             self.changed = true;
+            debug!(machine = %id, task = %key.0, attempt = t.attempt.0, state = ?t.state, "attempt found");
         }
         let state = match (t.state, t.why) {
             (TaskState::Ended, why) => SlotState::Ended(why.unwrap_or(ExitReason::Other)),
--- a/crates/hopyoke-runtime/src/http/client.rs
+++ b/crates/hopyoke-runtime/src/http/client.rs
@@ -55,6 +55,19 @@
         self.send_as(method, path, (MSGPACK, body), "", limit).await
     }
 
+    /// The same, if `may` still holds when the connection stands and the first byte is about to be
+    /// written: connecting can take as long as this process is behind.
+    pub async fn send_while(
+        &self,
+        may: impl Fn() -> bool,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        limit: Micros,
+    ) -> Result<Response, ClientError> {
+        self.send_if(&may, method, path, (MSGPACK, body), "", limit).await
+    }
+
     /// The same with a body of any type, and further header lines, each with its end.
     pub async fn send_as(
         &self,
@@ -63,6 +76,18 @@
         body: (&str, &[u8]),
         headers: &str,
         limit: Micros,
+    ) -> Result<Response, ClientError> {
+        self.send_if(&|| true, method, path, body, headers, limit).await
+    }
+
+    async fn send_if(
+        &self,
+        may: &dyn Fn() -> bool,
+        method: Method,
+        path: &str,
+        body: (&str, &[u8]),
+        headers: &str,
+        limit: Micros,
     ) -> Result<Response, ClientError> {
         if self.open.get() >= MAX_OPEN {
             return Err(ClientError::NotSent("too many requests open"));
@@ -76,6 +101,9 @@
                 TcpStream::connect(self.addr, limit).await.map_err(|_| ClientError::NotSent("no connection"))?
             }
         };
+        if !may() {
+            return Err(ClientError::NotSent("it may no longer be sent"));
+        }
         let left = deadline - runtime::now();
         match runtime::timeout(left, self.exchange(&stream, method, path, body, headers)).await {
             Ok(Ok((response, keep))) => {
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -419,6 +419,12 @@
             Action::Direct { machine, session, orders, .. } => {
                 let m = machine.clone();
                 let sent = self.now;
+                if self.no_sockets.get(&i).is_some_and(|t| sent < *t) {
+                    if let Some(l) = self.lead(i, process) {
+                        l.core.direct_failed(&m, false, sent);
+                    }
+                    return;
+                }
                 self.send(Host::Node(i), Host::Workers, move |w| {
                     w.direct_arrives(i, process, machine, token, session, orders, sent);
                 });
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -59,6 +59,14 @@
     pub hold: bool,
 }
 
+/// A node's process is behind: what reaches it waits before it is looked at.
+#[derive(Debug, Clone, Copy)]
+pub struct Lag {
+    pub node: usize,
+    pub by: Micros,
+    pub until: Micros,
+}
+
 /// What is true about a job, whatever anybody believes.
 pub struct Truth {
     pub spec: Rc<JobSpec>,
@@ -104,6 +112,11 @@
     pub store: store::Store,
     pub nodes: Vec<controller::Node>,
     pub cuts: Vec<Cut>,
+    pub lags: Vec<Lag>,
+    /// Until when a node has no socket left for connections of its own to workers.
+    pub no_sockets: BTreeMap<usize, Micros>,
+    /// Until when a worker's connections find no room at any node.
+    pub no_room: BTreeMap<MachineId, Micros>,
     pub jobs: BTreeMap<JobId, Truth>,
     pub broken: Vec<String>,
     pub leaders: u32,
@@ -154,6 +167,9 @@
             store: store::Store::default(),
             nodes: (0..nodes).map(|_| controller::Node::default()).collect(),
             cuts: Vec::new(),
+            lags: Vec::new(),
+            no_sockets: BTreeMap::new(),
+            no_room: BTreeMap::new(),
             jobs: BTreeMap::new(),
             broken: Vec::new(),
             leaders: 0,
@@ -227,7 +243,7 @@
 
     /// Sends a message: it arrives after a while, late, or never.
     pub fn send(&mut self, from: Host, to: Host, step: impl FnOnce(&mut World) + 'static) {
-        let latency = Micros(self.random(400, 6_000));
+        let latency = Micros(self.random(400, 6_000)) + self.lag(to);
         match self.cut(from, to) {
             Some(c) if c.hold => self.at(c.until + latency, step),
             Some(_) => {}
@@ -235,6 +251,12 @@
         }
     }
 
+    fn lag(&self, to: Host) -> Micros {
+        let now = self.now;
+        let behind = self.lags.iter().filter(|l| Host::Node(l.node) == to && now < l.until);
+        behind.map(|l| l.by).max().unwrap_or(Micros::ZERO)
+    }
+
     pub fn machine_type(&self, name: &str) -> MachineType {
         self.types.iter().find(|t| t.name == name).cloned().expect("a known machine type")
     }
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -1,6 +1,6 @@
 //! Scenarios as text: one statement a line, `#` starts a comment. See `crates/hopyoke/tests/scenarios/README.md`.
 
-use crate::{Cut, DAWN, Host, Truth, World};
+use crate::{Cut, DAWN, Host, Lag, Truth, World};
 use hopyoke_calendar::{Calendar, Held, Hours, Switch};
 use hopyoke_core::{Ask, Team};
 use hopyoke_types::Micros;
@@ -239,6 +239,25 @@
                 w.cuts.push(Cut { node, from: from.clone(), until, hold });
             }
         }
+        "lag" => {
+            let (who, by) = (word(&mut it), secs(word(&mut it)));
+            let until = w.now + secs(pairs(&mut it)["for"]);
+            for node in nodes(w, who) {
+                w.lags.push(Lag { node, by, until });
+            }
+        }
+        "no_sockets" => {
+            let who = word(&mut it);
+            let until = w.now + secs(pairs(&mut it)["for"]);
+            for node in nodes(w, who) {
+                w.no_sockets.insert(node, until);
+            }
+        }
+        "no_room" => {
+            let m = machine(w, word(&mut it));
+            let until = w.now + secs(pairs(&mut it)["for"]);
+            w.no_room.extend(m.map(|m| (m, until)));
+        }
         "outage" => w.outage(secs(word(&mut it))),
         "hang" => {
             let (m, span) = (machine(w, word(&mut it)), secs(word(&mut it)));
@@ -507,7 +526,7 @@
         let span = w.random(3, 40);
         let who = ["leader", "follower", "0", "1", "2"][w.random(0, 4) as usize];
         let held = ["held", "lost"][w.random(0, 1) as usize];
-        let line = match w.random(0, 9) {
+        let line = match w.random(0, 12) {
             0 => format!("crash {who} back 6"),
             1 => "crash all back 6".into(),
             2 => format!("cut {who} from state for {span} packets {held}"),
@@ -517,6 +536,9 @@
             6 => format!("hang any {span}"),
             7 => format!("hang of:req-{:06} {span}", w.random(1, 20)),
             8 => format!("take of:req-{:06}", w.random(1, 20)),
+            10 => format!("lag {who} {}.{} for {span}", w.random(0, 3), w.random(1, 9)),
+            11 => format!("no_room {} for {span}", ["any", "m-000001", "m-000002"][w.random(0, 2) as usize]),
+            12 => format!("no_sockets {who} for {span}"),
             _ => format!("notice of:req-{:06} 10", w.random(1, 20)),
         };
         later(w, t, line);
--- a/crates/hopyoke-world/src/worker.rs
+++ b/crates/hopyoke-world/src/worker.rs
@@ -188,6 +188,13 @@
         m.last_report = now;
         let node = m.node;
         let me = id.clone();
+        if self.no_room.get(id).is_some_and(|t| now < *t) {
+            // Its connection finds no room.
+            let (s, me) = (m_session(self, id), me);
+            return self.after(Micros::from_millis(1), move |w| {
+                w.report_answered(&me, s, number, now, Some(Err(None)));
+            });
+        }
         self.send(Host::Workers, Host::Node(node), move |w| w.node_report(node, report, number));
         let session = m_session(self, id);
         self.after(Micros::from_secs(4), move |w| {
--- a/crates/hopyoke/src/workers.rs
+++ b/crates/hopyoke/src/workers.rs
@@ -47,9 +47,34 @@
     if core.has_writes() {
         leading.write_bell.ring();
     }
+    tell_starts(
+        &report.machine,
+        answer.token,
+        report.session,
+        report.seq,
+        &answer.orders,
+        "starts with an answer",
+    );
     Response::of(200, &Orders { token: answer.token, orders: answer.orders })
 }
 
+/// A task's whole story can be told from the log at `debug`: which start went where, by which holder.
+fn tell_starts(machine: &MachineId, token: Token, session: u64, seq: u64, orders: &[Order], how: &str) {
+    if !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
+    let starts: Vec<String> = orders
+        .iter()
+        .filter_map(|o| match o {
+            Order::Start { task, attempt } => Some(format!("{task}@{attempt}")),
+            _ => None,
+        })
+        .collect();
+    if !starts.is_empty() {
+        debug!(machine = %machine, token = token.0, session, seq, starts = ?starts, "{how}");
+    }
+}
+
 fn redirect(node: &Node) -> Response {
     let leader = node.leader.borrow();
     let other = leader.as_deref().filter(|l| *l != node.settings.node);
@@ -101,8 +126,13 @@
             leading.core.borrow_mut().direct_failed(&machine, false, runtime::now());
             return;
         }
+        tell_starts(&machine, token, session, 0, &orders, "starts by direct orders");
         let body = encode(&DirectOrders { token, session, orders });
-        let result = self.client(address).send(Method::Post, "/commands", &body, DIRECT_LIMIT).await;
+        // Asked again once the connection stands: a process that is behind may get there long after
+        // the next holder was granted its token.
+        let may = || leading.entitled();
+        let client = self.client(address);
+        let result = client.send_while(may, Method::Post, "/commands", &body, DIRECT_LIMIT).await;
         let now = runtime::now();
         let mut core = leading.core.borrow_mut();
         match result {
