--- a/crates/hopyoke-core/src/batch.rs
+++ b/crates/hopyoke-core/src/batch.rs
@@ -26,6 +26,13 @@
     pub writes: Vec<Write>,
 }
 
+impl Batch {
+    /// Changes (puts and deletes) that it makes.
+    pub fn changes(&self) -> usize {
+        self.writes.iter().map(|w| if matches!(w, Write::End { .. }) { 2 } else { 1 }).sum()
+    }
+}
+
 /// Why a batch did not go through.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BatchError {
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -594,7 +594,7 @@
                 m.phase = Phase::Lost;
                 m.deleting |= !cut;
                 m.idle_since = None;
-                info!(machine = %id, zone = %m.zone, spot = m.spot, tasks = held, "machine lost: its lease lapsed");
+                info!(machine = %id, zone = %m.zone, spot = m.spot, tasks = held, session = m.session, "machine lost: its lease lapsed");
             }
             self.changed = true;
         }
--- a/crates/hopyoke-core/src/records.rs
+++ b/crates/hopyoke-core/src/records.rs
@@ -2,9 +2,9 @@
 
 use super::batch::{Batch, BatchError, RegisterPage, Write};
 use super::job::JobRecord;
-use super::{Action, Config, Core};
+use super::{Action, Config, Core, Phase};
 use hopyoke_types::Micros;
-use hopyoke_types::{JobId, Mark, Token};
+use hopyoke_types::{JobId, MachineId, Mark, Token};
 use std::collections::BTreeMap;
 
 pub(super) struct Writes {
@@ -13,10 +13,17 @@
     budget: f64,
     refilled: Micros,
     not_before: Micros,
+    /// New work waits to be recorded by other nodes as well: what can wait leaves them room.
+    pressed: bool,
+    /// Changes that may be spent meanwhile on what can wait.
+    patient: f64,
     /// Pages of the register are not rewritten for removals alone before this.
     removals_at: Micros,
 }
 
+/// Of the leader's changes this much goes to what can wait while new work waits for the rest.
+const PATIENT_SHARE: f64 = 0.3;
+
 /// Bodies are limited to 64 KiB; a batch stays well below.
 const MOST_BYTES: usize = 40 * 1024;
 
@@ -27,6 +34,8 @@
             budget: cfg.write_rps / 2.0,
             refilled: now,
             not_before: Micros::ZERO,
+            pressed: false,
+            patient: 0.0,
             removals_at: Micros::ZERO,
         }
     }
@@ -69,12 +78,23 @@
         !self.writes.due.is_empty() || self.register.has_additions() || self.register.has_removals()
     }
 
+    /// New work finds no room at the nodes' doors, or finds it again.
+    pub fn set_pressed(&mut self, pressed: bool) {
+        self.writes.pressed = pressed;
+    }
+
+    /// Records wait for the rate at which they may be written.
+    pub fn short_of_writes(&self) -> bool {
+        self.writes.budget < 1.0 && self.has_writes()
+    }
+
     /// The next batch of writes, if some are due and the rate allows it.
     pub fn next_batch(&mut self, now: Micros) -> Option<Batch> {
         let rate = self.cfg.write_rps / 2.0;
         let most_budget = rate.max(4.0);
         let w = &mut self.writes;
         w.budget = (w.budget + rate * (now - w.refilled).as_secs_f64()).min(most_budget);
+        w.patient = (w.patient + rate * PATIENT_SHARE * (now - w.refilled).as_secs_f64()).min(4.0);
         w.refilled = now;
         if now < w.not_before || w.budget < 1.0 {
             return None;
@@ -85,7 +105,9 @@
         // Gangs' terms first: their tasks wait for it. Then machines, which wait for their first
         // task, then whatever completes, then what can be gathered.
         let mut ranked: Vec<(u8, JobId)> = Vec::new();
-        let (jobs, tuning) = (&self.jobs, &self.tuning);
+        let (jobs, tuning, machines) = (&self.jobs, &self.tuning, &self.machines);
+        let up = |m: &MachineId| machines.get(m).is_some_and(|m| m.phase == Phase::Up);
+        let (pressed, mut patient) = (w.pressed, w.patient);
         w.due.retain(|id, since| {
             let Some(job) = jobs.get(id) else { return false };
             if job.writing {
@@ -96,6 +118,13 @@
             }
             let since = *since.get_or_insert(now);
             let rank = if job.term != job.recorded_term {
+                // Its first task can't start before a machine is up.
+                if pressed && !job.places.values().flatten().any(|(m, _)| up(m)) {
+                    if patient < 1.0 {
+                        return true;
+                    }
+                    patient -= 1.0;
+                }
                 0
             } else if job.is_over() {
                 1
@@ -110,6 +139,7 @@
             ranked.push((rank, id.clone()));
             true
         });
+        w.patient = patient;
         ranked.sort_unstable();
         let split = ranked.partition_point(|(rank, _)| *rank == 0);
         let rest = ranked.split_off(split);
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -126,8 +126,11 @@
         m.address = report.address.parse().ok();
         m.spot = report.spot;
         m.phase = Phase::Up;
-        if back && m.lease_end <= now {
-            m.lease_end = now + self.cfg.lease_bound();
+        if new_session || (back && m.lease_end <= now) {
+            // A session has its whole lease from its beginning, and that may have been just now: the
+            // end that was counted is that of the session before. A direct order's answer tells of a
+            // new session as well as a report does. (Scenario session_learned_by_order.)
+            m.lease_end = m.lease_end.max(now + self.cfg.lease_bound());
         }
         let notice = report.notice_s.map(|s| now + Micros::from_secs_f64(s));
         if notice.is_some() && m.notice.is_none() {
--- /dev/null
+++ b/crates/hopyoke-limits/src/lib.rs
@@ -0,0 +1,22 @@
+//! What a node may ask of a service that all nodes share, by importance, without any I/O.
+//!
+//! The state service counts requests and changes of all nodes together, and refuses above its
+//! limits whoever comes: leases and takeovers stand in line behind what users ask. So every node
+//! keeps to its own part, which needs no agreement, and inside its part to an order:
+//!
+//! - [`Pace`]: one limit. Each [`Importance`] may take from the node's part only while more than its
+//!   own floor is left, so what matters more always finds room, whatever the others offer.
+//! - [`Gate`]: who is let in of those that ask for work, and when those refused are to come back.
+//! - [`Need`]: what the leader's own records need of the changes, which it tells the others.
+//! - [`Share`]: the changes that a node may spend on users, by that word while it is fresh.
+//!
+//! Time is a parameter everywhere: events and `now` in, decisions out.
+
+mod bucket;
+mod gate;
+mod need;
+mod pace;
+
+pub use gate::{Gate, RetryAfter};
+pub use need::{Need, Share};
+pub use pace::{Bounds, Importance, Pace};
--- /dev/null
+++ b/crates/hopyoke-limits/tests/limits.rs
@@ -0,0 +1,142 @@
+//! The bounds hold for any order of events, and each check is seen to fail where a bound is left out.
+
+use hopyoke_limits::{Bounds, Gate, Importance, Need, Pace, Share};
+use hopyoke_types::Micros;
+use proptest::prelude::*;
+
+const REQUESTS: Bounds = Bounds { per_second: 180.0, nodes: 3 };
+const CHANGES: Bounds = Bounds { per_second: 50.0, nodes: 3 };
+
+/// The state service's own count: what it refuses.
+struct Service {
+    rate: f64,
+    level: f64,
+    at: Micros,
+}
+
+impl Service {
+    fn new(rate: f64) -> Service {
+        Service { rate, level: rate, at: Micros::ZERO }
+    }
+
+    fn takes(&mut self, n: f64, now: Micros) -> bool {
+        self.level = (self.level + self.rate * (now - self.at).as_secs_f64()).min(self.rate);
+        self.at = now;
+        let ok = self.level >= n;
+        if ok {
+            self.level -= n;
+        }
+        ok
+    }
+}
+
+fn importance(n: u8) -> Importance {
+    [
+        Importance::Vital,
+        Importance::Records,
+        Importance::Cancels,
+        Importance::Accepts,
+        Importance::Polls,
+        Importance::Spare,
+    ][n as usize % 6]
+}
+
+proptest! {
+    /// Whatever the nodes are asked to send and when, the service refuses nothing that they let through.
+    #[test]
+    fn parts_never_exceed_the_limit(events in prop::collection::vec((0u64..40_000, 0usize..3, 0u8..6, 1u32..5), 1..2000)) {
+        let mut nodes: Vec<Pace> = (0..3).map(|_| Pace::new(REQUESTS, Micros::ZERO)).collect();
+        let mut service = Service::new(REQUESTS.per_second);
+        let mut now = Micros::ZERO;
+        for (pause, node, class, n) in events {
+            now += Micros(pause);
+            if nodes[node].take(importance(class), n, now).is_ok() {
+                prop_assert!(service.takes(f64::from(n), now), "refused at {now:?}");
+            }
+        }
+    }
+
+    /// A flood of anything less important never keeps a lease's renewal waiting.
+    #[test]
+    fn vital_always_finds_room(class in 1u8..6, offered in 1u32..200) {
+        let mut pace = Pace::new(REQUESTS, Micros::ZERO);
+        for ms in 0..5_000u64 {
+            let now = Micros::from_millis(ms);
+            for _ in 0..offered {
+                let _ = pace.take(importance(class), 1, now);
+            }
+            if ms % 500 == 0 {
+                for _ in 0..4 {
+                    prop_assert!(pace.take(Importance::Vital, 1, now).is_ok(), "at {ms} ms");
+                }
+            }
+        }
+    }
+
+    /// The records' need and all nodes' shares together stay within the changes, when nobody has
+    /// heard of the leader, and when all have heard the same.
+    #[test]
+    fn shares_and_need_fit(need in 0.0f64..200.0, heard in any::<bool>()) {
+        let mut share = Share::new(CHANGES);
+        if heard {
+            share.heard(need, Micros::ZERO);
+        }
+        let need = if heard { need.min(CHANGES.per_second * 0.5) } else { CHANGES.per_second * 0.5 };
+        let all = share.rate(Micros::from_secs(1)) * 3.0 + need;
+        prop_assert!(all <= CHANGES.per_second, "{all}");
+    }
+
+    /// Those refused are told to come back no faster than the gate lets in, and none beyond what users wait.
+    #[test]
+    fn the_line_moves_at_the_rate(rate in 1.0f64..50.0, many in 1usize..1500) {
+        let mut gate = Gate::new(rate, Micros::ZERO);
+        let mut told = [0usize; 31];
+        for _ in 0..many {
+            if let Err(after) = gate.enter(Micros::ZERO) {
+                prop_assert!((1..=30).contains(&after.0));
+                told[after.0 as usize] += 1;
+            }
+        }
+        // The last place gathers all that the line has no place for.
+        for (s, n) in told.iter().enumerate().take(30) {
+            prop_assert!(*n as f64 <= rate.ceil() + 1.0, "{n} come back after {s} s at {rate} a second");
+        }
+    }
+}
+
+#[test]
+fn a_word_counts_from_when_it_was_asked_for() {
+    let mut share = Share::new(CHANGES);
+    let safe = share.rate(Micros::ZERO);
+    share.heard(1.0, Micros::from_secs(1));
+    assert!(share.rate(Micros::from_millis(3_400)) > safe);
+    // The answer may have taken two seconds: it holds no longer for that.
+    assert!((share.rate(Micros::from_millis(3_500)) - safe).abs() < 1e-9);
+    // An older word that comes later changes nothing.
+    share.heard(0.0, Micros::ZERO);
+    assert!((share.rate(Micros::from_millis(3_600)) - safe).abs() < 1e-9);
+}
+
+#[test]
+fn a_line_that_nobody_joins_is_gone() {
+    let mut gate = Gate::new(10.0, Micros::ZERO);
+    for _ in 0..60 {
+        let _ = gate.enter(Micros::ZERO);
+    }
+    assert_eq!(gate.line(Micros::ZERO), Micros::from_secs(5));
+    assert_eq!(gate.line(Micros::from_secs(5)), Micros::ZERO);
+    assert!(gate.enter(Micros::from_secs(1)).is_ok());
+}
+
+#[test]
+fn the_need_follows_what_is_written_and_rises_at_once() {
+    let mut need = Need::new(CHANGES, Micros::ZERO);
+    for ms in 0..30u64 {
+        need.wrote(1, Micros::from_millis(ms * 100));
+    }
+    let rate = need.rate(Micros::from_secs(3));
+    assert!((8.0..=16.0).contains(&rate), "{rate}");
+    need.short(Micros::from_secs(3));
+    assert_eq!(need.rate(Micros::from_secs(3)), 25.0);
+    assert!(need.rate(Micros::from_secs(30)) < 2.0);
+}
--- a/crates/hopyoke/src/api.rs
+++ b/crates/hopyoke/src/api.rs
@@ -5,6 +5,7 @@
 use crate::records::{self, Lookup, lookup, lookup_ended};
 use crate::state::{StateError, TxnEnd};
 use hopyoke_core::{EndRecord, JobRecord, never_runs};
+use hopyoke_limits::RetryAfter;
 use hopyoke_runtime as runtime;
 use hopyoke_runtime::http::{Method, Request, Response};
 use hopyoke_types::JobId;
@@ -29,6 +30,11 @@
     problem(503, why).retry_after(1)
 }
 
+/// No room now: said at once, with when there will be.
+fn no_room(after: RetryAfter) -> Response {
+    problem(503, "more work is offered than can be recorded").retry_after(after.0)
+}
+
 /// Users and workers go elsewhere while this node alone can't reach the state service.
 pub fn healthz(node: &Node, request: &Request) -> Response {
     if request.method != Method::Get {
@@ -58,10 +64,15 @@
     if request.method == Method::Get && node.leading().is_none() {
         let leader = node.leader.borrow().clone();
         if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l))
-            && link.reaches_state()
-            && let Some(r) = link.forward(&node.settings.node, request, ASK_LEADER).await
+            && link.leads()
         {
-            return r;
+            // The leader answers many with one question of its own; our own would be two for each.
+            if link.is_busy() {
+                return later("the leader is busy");
+            }
+            if let Some(r) = link.forward(&node.settings.node, request, ASK_LEADER).await {
+                return r;
+            }
         }
     }
     if !node.state.answers()
@@ -76,8 +87,10 @@
         return later("the state service does not answer this node").closing();
     }
     let own = own_answer(node, rest, request).await;
+    // What found no room here is not passed on: the others have no more.
     if own.status == 503
         && request.method == Method::Post
+        && !node.state.answers()
         && let Some(link) = node.links.any_reaches_state()
         && let Some(r) = link.forward(&node.settings.node, request, ASK_PEER).await
     {
@@ -168,7 +181,7 @@
         // Over, or never accepted, or its record can't be read: its own records tell.
         return Ok(answer(node, id, lookup_ended(node, id).await?));
     }
-    Ok(answer(node, id, lookup(node, id).await?))
+    Ok(answer(node, id, lookup(node, node.state.polling(), id).await?))
 }
 
 async fn submit(node: &Rc<Node>, body: &[u8]) -> Response {
@@ -186,7 +199,7 @@
     let id = spec.id.clone();
     let result = match never {
         // An accepted job stays accepted, whatever the catalog says now.
-        Some(why) => match lookup(node, &id).await {
+        Some(why) => match lookup(node, node.state.accepting(), &id).await {
             Ok(Lookup::Missing) => Ok(problem(422, &why)),
             Ok(found) => Ok(answer(node, &id, found)),
             Err(e) => Err(e),
@@ -206,13 +219,23 @@
     if let Some(end) = node.finals.get(&id).filter(|e| !e.flow) {
         return Ok(finished(&id, end));
     }
+    if let Err(after) = node.door.enter(node) {
+        // A repeated submission of what is accepted gets its answer all the same, where that costs
+        // nothing of its own.
+        let known = node.leading().is_some_and(|l| l.core.borrow().jobs.contains_key(&id));
+        return if known { poll(node, &id).await } else { Ok(no_room(after)) };
+    }
     let record = JobRecord::accepted(spec, runtime::time_of_day().0);
-    match records::accept(node, record, Vec::new()).await? {
+    let end = match records::accept(node, record, Vec::new()).await {
+        Err(e) if e.is_refusal() && node.state.answers() => return Ok(no_room(node.door.refuse(node))),
+        end => end?,
+    };
+    match end {
         TxnEnd::Applied(_) => {
             let answer = JobAnswer { id: id.as_str(), state: JobState::Queued, done: None, running: None };
             Ok(Response::of(201, &answer))
         }
-        TxnEnd::Failed(_) => match lookup(node, &id).await? {
+        TxnEnd::Failed(_) => match lookup(node, node.state.accepting(), &id).await? {
             // It can't have vanished: the user is to ask again.
             Lookup::Missing => Ok(later("the job's record changed meanwhile")),
             found if found.is_flow() => Ok(problem(422, "the id is that of a workflow's step")),
--- a/crates/hopyoke/src/flow_calls.rs
+++ b/crates/hopyoke/src/flow_calls.rs
@@ -173,7 +173,7 @@
 /// a repeated call goes on from where the last one stopped.
 async fn write_plan(node: &Node, flows: &Flows, run: RunId, pages: &[PlanPage]) -> Answer<()> {
     let until = runtime::now() + WRITING;
-    let (there, _) = node.state.list::<PlanPage>(&flow_plan_prefix(run)).await?;
+    let (there, _) = node.state.spare().list::<PlanPage>(&flow_plan_prefix(run)).await?;
     let mut known = BTreeSet::new();
     for p in there {
         let number = p.key.rsplit('/').next().and_then(|n| n.parse::<u32>().ok());
@@ -203,7 +203,7 @@
                 lease: None,
             })
             .collect();
-        match node.state.txn(conditions, changes).await? {
+        match node.state.spare().txn(conditions, changes).await? {
             TxnEnd::Applied(_) => known.extend(chunk),
             // An earlier try of this call may have been executed late.
             TxnEnd::Failed(_) => return refuse(503, "the plan's pages changed meanwhile"),
@@ -219,7 +219,7 @@
     let conditions =
         vec![Condition { key: flow_key(run), mark: Mark(0) }, Condition { key: flow_end_key(run), mark: Mark(0) }];
     let change = Change::Put { key: flow_key(run), value: Value::Head(Box::new(head)), lease: None };
-    match node.state.txn(conditions, vec![change]).await? {
+    match node.state.spare().txn(conditions, vec![change]).await? {
         TxnEnd::Applied(_) => {
             info!(%run, name = info.name, team = info.team, steps = info.steps, "run accepted");
             Ok(one(201, info))
@@ -253,7 +253,7 @@
     }
     let mut submitted = BTreeSet::new();
     if !head.state.is_final() {
-        let (jobs, _) = node.state.list::<JobRecord>(&format!("job/{}", job_prefix(run))).await?;
+        let (jobs, _) = node.state.spare().list::<JobRecord>(&format!("job/{}", job_prefix(run))).await?;
         let ours = jobs.iter().filter(|p| matches!(&p.value, Stored::Value(r) if r.flow));
         submitted.extend(ours.filter_map(|p| Some(parts_of(&job_id_of(&p.key)?)?.1)));
     }
@@ -295,7 +295,7 @@
         let mut more = false;
         for prefix in [FLOW_HEADS, FLOW_ENDS] {
             let since = format!("{prefix}{after}");
-            let page = node.state.page::<Head>(prefix, Some(&since), MOST_LISTED).await?;
+            let page = node.state.spare().page::<Head>(prefix, Some(&since), MOST_LISTED).await?;
             let last = page.pairs.last().and_then(|p| RunId::parse(p.key.strip_prefix(prefix)?));
             if page.more {
                 // Beyond this one the other list may have runs that this page does not reach.
@@ -347,7 +347,7 @@
         }
         let head = Head { state: RunState::Cancelling, ..head };
         let change = Change::Put { key: flow_key(run), value: Value::Head(Box::new(head.clone())), lease: None };
-        match node.state.txn(vec![Condition { key: flow_key(run), mark }], vec![change]).await? {
+        match node.state.spare().txn(vec![Condition { key: flow_key(run), mark }], vec![change]).await? {
             TxnEnd::Applied(_) => {
                 info!(%run, "run cancelled");
                 return Ok(one(200, told(&head, run, 0, 0)));
@@ -398,7 +398,7 @@
             Condition { key: flow_key(run), mark: Mark(0) },
             Condition { key: flow_end_key(run), mark: Mark(0) },
         ];
-        if let TxnEnd::Failed(_) = node.state.txn(conditions, vec![change]).await? {
+        if let TxnEnd::Failed(_) = node.state.spare().txn(conditions, vec![change]).await? {
             return refuse(503, "the run changed meanwhile");
         }
         runtime::sleep(Micros::from_secs_f64(1.0 / rate)).await;
--- a/crates/hopyoke/src/flows.rs
+++ b/crates/hopyoke/src/flows.rs
@@ -79,11 +79,11 @@
     let flows = of(&node);
     loop {
         match flows.lease.get() {
-            None => match node.state.grant(TTL).await {
+            None => match node.state.vital().grant(TTL).await {
                 Ok(lease) => flows.lease.set(Some(lease)),
                 Err(e) => debug!(error = %e, "no lease for runs"),
             },
-            Some(lease) => match node.state.renew(lease, Micros::from_millis(1500)).await {
+            Some(lease) => match node.state.vital().renew(lease, Micros::from_millis(1500)).await {
                 Ok(()) => {}
                 Err(StateError::Gone) => {
                     warn!("the lease on which this node carries runs is gone");
@@ -109,7 +109,7 @@
     let mut since = None;
     loop {
         let Some(from) = since else {
-            match node.state.list::<Value>(FLOWS).await {
+            match node.state.spare().list::<Value>(FLOWS).await {
                 Ok((pairs, revision)) => {
                     all_seen(&node, pairs, Mark(revision));
                     since = Some(revision);
@@ -121,7 +121,7 @@
             }
             continue;
         };
-        let result: Result<Events<Value>, _> = node.state.changes(FLOWS, from, WATCH).await;
+        let result: Result<Events<Value>, _> = node.state.spare().changes(FLOWS, from, WATCH).await;
         match result {
             Ok(events) => {
                 since = Some(events.revision.max(from));
@@ -208,7 +208,7 @@
         let from = match since {
             Some(s) => s,
             // What came before is read with each run's records.
-            None => match node.state.page::<EndRecord>(&prefix, None, 1).await {
+            None => match node.state.spare().page::<EndRecord>(&prefix, None, 1).await {
                 Ok(page) => {
                     flows.engine.borrow_mut().news_lost(runtime::now());
                     page.revision
@@ -220,7 +220,7 @@
             },
         };
         since = Some(from);
-        let result: Result<Events<EndRecord>, _> = node.state.changes(&prefix, from.max(1), WATCH).await;
+        let result: Result<Events<EndRecord>, _> = node.state.spare().changes(&prefix, from.max(1), WATCH).await;
         match result {
             Ok(events) => {
                 since = Some(events.revision.max(from));
@@ -291,7 +291,7 @@
 
 fn not_known(e: &StateError) -> Outcome {
     match e {
-        StateError::Refused(_) => Outcome::Later(Micros::from_millis(500)),
+        StateError::Refused(_) | StateError::NoRoom => Outcome::Later(Micros::from_millis(500)),
         _ => Outcome::Unknown,
     }
 }
@@ -301,16 +301,16 @@
     let hold = Hold { node: node.settings.node.clone(), lease };
     let key = flow_hold_key(run);
     // A run that is over is not claimed: its head must still be there.
-    let head = match node.state.get::<Value>(&flow_key(run)).await {
+    let head = match node.state.spare().get::<Value>(&flow_key(run)).await {
         Ok(Some((_, mark))) => mark,
         _ => return Err(None),
     };
     let conditions =
         vec![Condition { key: key.clone(), mark: Mark(0) }, Condition { key: flow_key(run), mark: head }];
     let changes = vec![Change::Put { key: key.clone(), value: hold.clone(), lease: Some(lease) }];
-    match node.state.txn(conditions, changes).await {
+    match node.state.spare().txn(conditions, changes).await {
         Ok(TxnEnd::Applied(mark)) => Ok(mark),
-        Ok(TxnEnd::Failed(_)) => match node.state.get::<Hold>(&key).await {
+        Ok(TxnEnd::Failed(_)) => match node.state.spare().get::<Hold>(&key).await {
             // An earlier try of this very process went through.
             Ok(Some((Stored::Value(h), mark))) if h == hold => Ok(mark),
             Ok(Some((_, mark))) => Err(Some(mark)),
@@ -323,7 +323,7 @@
 /// Reads a run's head, wherever it is: a head only ever moves from `flow/head/` to `flowend/`.
 pub(crate) async fn head_of(node: &Node, run: RunId) -> Result<Option<(Head, Mark)>, StateError> {
     for key in [flow_key(run), flow_end_key(run)] {
-        match node.state.get::<Head>(&key).await? {
+        match node.state.spare().get::<Head>(&key).await? {
             Some((Stored::Value(head), mark)) => return Ok(Some((head, mark))),
             Some((Stored::Unreadable(_), _)) => {
                 warn!(%run, "unreadable head");
@@ -338,7 +338,7 @@
 /// The pages of a run's progress.
 pub(crate) async fn pages_of(node: &Node, run: RunId) -> Result<Vec<(u32, Mark, StepPage)>, StateError> {
     let prefix = flow_page_prefix(run);
-    let (pairs, _) = node.state.list::<StepPage>(&prefix).await?;
+    let (pairs, _) = node.state.spare().list::<StepPage>(&prefix).await?;
     let page = |p: Pair<StepPage>| {
         let number = p.key.strip_prefix(&prefix)?.parse().ok()?;
         // An unreadable page is no knowledge; the jobs' own records tell.
@@ -349,13 +349,13 @@
 
 /// A run's plan, if all its pages can be read.
 pub(crate) async fn plan_of(node: &Node, run: RunId, head: &Head) -> Result<Option<Plan>, StateError> {
-    let (pairs, _) = node.state.list::<PlanPage>(&flow_plan_prefix(head.plan_of.unwrap_or(run))).await?;
+    let (pairs, _) = node.state.spare().list::<PlanPage>(&flow_plan_prefix(head.plan_of.unwrap_or(run))).await?;
     let pages: Option<Vec<PlanPage>> = pairs.into_iter().map(|p| p.value.readable()).collect();
     Ok(pages.filter(|p| p.len() == head.plan_pages as usize).map(Plan::of_pages))
 }
 
 async fn fetch(node: &Node, run: RunId, plan: bool) -> Result<Option<Fetched>, StateError> {
-    let grant = node.state.get::<Hold>(&flow_hold_key(run)).await?.map(|(_, mark)| mark);
+    let grant = node.state.spare().get::<Hold>(&flow_hold_key(run)).await?.map(|(_, mark)| mark);
     let Some((head, head_mark)) = head_of(node, run).await? else { return Ok(None) };
     let plan = if plan && !head.state.is_final() {
         match plan_of(node, run, &head).await? {
@@ -368,8 +368,8 @@
     let pages = pages_of(node, run).await?;
     // Unfinished jobs first: a record only ever moves to the ended ones.
     let prefix = job_prefix(run);
-    let (jobs, _) = node.state.list::<JobRecord>(&format!("job/{prefix}")).await?;
-    let (ends, _) = node.state.list::<EndRecord>(&format!("end/{prefix}")).await?;
+    let (jobs, _) = node.state.spare().list::<JobRecord>(&format!("job/{prefix}")).await?;
+    let (ends, _) = node.state.spare().list::<EndRecord>(&format!("end/{prefix}")).await?;
     let id = |key: &str| JobId::parse(key.split_once('/')?.1);
     Ok(Some(Fetched {
         head,
@@ -408,7 +408,7 @@
     };
     if let Some(why) = never {
         // An accepted job stays accepted, whatever the catalog says now.
-        return Ok(match lookup(node, &spec.id).await? {
+        return Ok(match lookup(node, node.state.spare(), &spec.id).await? {
             Lookup::Missing => Outcome::Never(why),
             found => known(&found),
         });
@@ -419,7 +419,7 @@
     Ok(match records::accept(node, record, more).await? {
         TxnEnd::Applied(_) => Outcome::Accepted,
         // The three-way check: what does the job's own record say?
-        TxnEnd::Failed(_) => match lookup(node, &spec.id).await? {
+        TxnEnd::Failed(_) => match lookup(node, node.state.spare(), &spec.id).await? {
             Lookup::Missing => Outcome::Stale,
             found => known(&found),
         },
@@ -465,10 +465,10 @@
     if release {
         changes.push(Change::Drop { key: flow_hold_key(run) });
     }
-    match node.state.txn(conditions, changes).await {
+    match node.state.spare().txn(conditions, changes).await {
         Ok(TxnEnd::Applied(mark)) => Written::Applied(mark),
         Ok(TxnEnd::Failed(_)) => Written::Conflict,
-        Err(StateError::Refused(_)) => Written::Refused,
+        Err(e) if e.is_refusal() => Written::Refused,
         Err(_) => Written::Unknown,
     }
 }
--- a/crates/hopyoke/src/follow.rs
+++ b/crates/hopyoke/src/follow.rs
@@ -2,7 +2,7 @@
 //! by other nodes' hints.
 
 use crate::node::{Leading, Node};
-use crate::state::{JOBS, StateError, job_key};
+use crate::state::{JOBS, StateError};
 use hopyoke_core::JobRecord;
 use hopyoke_runtime as runtime;
 use hopyoke_types::{JobId, Mark, Micros};
@@ -15,15 +15,22 @@
 /// lost.
 pub const WATCH: Micros = Micros::from_secs(2);
 
+/// The least time between two watches.
+const GATHER: Micros = Micros::from_millis(80);
+
 /// Learns of jobs that other nodes accept or cancel.
 pub async fn watch(node: Rc<Node>, leading: Rc<Leading>) {
     loop {
         let sent = runtime::now();
         let since = leading.replica.applied.get();
-        let result: Result<Events<JobRecord>, _> = node.state.changes(JOBS, since, WATCH).await;
+        let result: Result<Events<JobRecord>, _> = node.state.records().changes(JOBS, since, WATCH).await;
         match result {
-            Ok(events) => apply(&leading, events, sent),
-            Err(StateError::Gone) => match node.state.list::<JobRecord>(JOBS).await {
+            Ok(events) => {
+                apply(&leading, events, sent);
+                // While much changes each answer comes at once: several changes share a request.
+                runtime::sleep_until(sent + GATHER).await;
+            }
+            Err(StateError::Gone) => match node.state.records().list::<JobRecord>(JOBS).await {
                 Ok((pairs, revision)) => {
                     let now = runtime::now();
                     let mut core = leading.core.borrow_mut();
@@ -71,7 +78,7 @@
         let sent = runtime::now();
         let since = replica.applied.get();
         let result: Result<Events<JobRecord>, StateError> =
-            node.state.changes(JOBS, since.max(1), Micros::ZERO).await;
+            node.state.records().changes(JOBS, since.max(1), Micros::ZERO).await;
         match result {
             Ok(events) => {
                 apply(&leading, events, sent);
@@ -111,22 +118,6 @@
     }
 }
 
-/// Reads one job's record because another node says that it has changed. If that fails, the
-/// watch still tells.
-pub async fn read_news(node: &Rc<Node>, leading: &Leading, id: JobId) {
-    let Ok(found) = node.state.get::<JobRecord>(&job_key(&id)).await else { return };
-    let mut core = leading.core.borrow_mut();
-    match found {
-        Some((Stored::Value(record), mark)) => core.job_seen(id, record, mark, runtime::now()),
-        Some((Stored::Unreadable(_), _)) => warn!(job = %id, "unreadable record"),
-        // Only a job that we know can have ended: a hint about another one changes nothing.
-        None if core.jobs.contains_key(&id) => core.job_dropped(&id),
-        None => {}
-    }
-    drop(core);
-    leading.bell.ring();
-}
-
 pub(crate) fn job_of(pair: Pair<JobRecord>) -> Option<(JobId, JobRecord, Mark)> {
     let id = JobId::parse(pair.key.strip_prefix(JOBS)?)?;
     match pair.value {
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -39,9 +39,14 @@
     let mut shy_until = Micros::ZERO;
     let mut fresh_start = true;
     loop {
-        let (found, mark) = match node.state.get::<Holder>(LEADER).await {
+        let asked = runtime::now();
+        let (found, mark) = match node.state.vital().get::<Holder>(LEADER).await {
             Ok(Some((value, mark))) => (value.readable(), mark),
-            Ok(None) => (None, Mark(0)),
+            Ok(None) => {
+                // Nobody leads, so nobody's records need anything.
+                node.door.heard(0.0, asked);
+                (None, Mark(0))
+            }
             Err(e) => {
                 debug!(error = %e, "leader unknown");
                 runtime::sleep(Micros::from_millis(300) + jitter(Micros::from_millis(300))).await;
@@ -69,7 +74,7 @@
             if let Acquired::Unsure(lease) = acquired {
                 // The try may yet be executed, late: until its lease is gone for certain, nothing
                 // can be promised.
-                while node.state.release(lease).await.is_err() {
+                while node.state.vital().release(lease).await.is_err() {
                     runtime::sleep(Micros::from_millis(500)).await;
                 }
             }
@@ -85,7 +90,7 @@
         fresh_start = false;
         // Wait until the key changes.
         let wait = if mark == Mark(0) { Micros::from_secs(1) } else { Micros::from_secs(10) };
-        match node.state.changes::<Holder>(LEADER, mark.0.max(1), wait).await {
+        match node.state.vital().changes::<Holder>(LEADER, mark.0.max(1), wait).await {
             Ok(_) => {}
             Err(_) => runtime::sleep(Micros::from_millis(200) + jitter(Micros::from_millis(300))).await,
         }
@@ -104,7 +109,7 @@
 async fn acquire(node: &Rc<Node>, me: &Holder, mark: Mark) -> Acquired {
     let ttl = node.settings.leader_ttl();
     let sent = runtime::now();
-    let lease = match node.state.grant(ttl).await {
+    let lease = match node.state.vital().grant(ttl).await {
         Ok(l) => l,
         Err(e) => {
             debug!(error = %e, "no lease");
@@ -116,13 +121,29 @@
     for zone in &node.config.zones {
         changes.push(Change::Put { key: block_key(zone), value: me.clone(), lease: Some(lease) });
     }
-    match node.state.txn(vec![Condition { key: LEADER.to_owned(), mark }], changes).await {
+    let until = sent + ttl.less_drift();
+    let outcome = loop {
+        let conditions = vec![Condition { key: LEADER.to_owned(), mark }];
+        match node.state.vital().txn(conditions, changes.clone()).await {
+            // Certainly not executed: the same lease serves the next try, while enough of it is left.
+            Err(e) if e.is_refusal() && runtime::now() < until - Micros(ttl.0 / 2) => {
+                debug!(error = %e, "leadership not decided");
+                runtime::sleep(Micros::from_millis(100) + jitter(Micros::from_millis(150))).await;
+            }
+            outcome => break outcome,
+        }
+    };
+    match outcome {
         Ok(TxnEnd::Applied(m)) => {
             info!(token = m.0, blocks = ?node.config.zones, "leading: all blocks granted to this node");
-            Acquired::Lead(lease, Token(m.0), sent + ttl.less_drift())
+            Acquired::Lead(lease, Token(m.0), until)
+        }
+        Err(e) if e.is_refusal() => {
+            let _ = node.state.vital().release(lease).await;
+            Acquired::No
         }
         Ok(TxnEnd::Failed(_)) => {
-            let _ = node.state.release(lease).await;
+            let _ = node.state.vital().release(lease).await;
             Acquired::No
         }
         Err(e) => {
@@ -191,7 +212,7 @@
     cancel.cancel();
     if starved {
         info!(token = token.0, "giving up leadership: no worker reaches this node");
-        let _ = node.state.release(lease).await;
+        let _ = node.state.vital().release(lease).await;
         *node.leader.borrow_mut() = None;
     } else {
         info!(token = token.0, "leadership lost");
@@ -211,7 +232,7 @@
     let ttl = node.settings.leader_ttl();
     loop {
         let sent = runtime::now();
-        match node.state.renew(lease, Micros::from_millis(1000)).await {
+        match node.state.vital().renew(lease, Micros::from_millis(1000)).await {
             Ok(()) => {
                 right.borrow_mut().renewed(sent);
                 lost.ring();
@@ -232,8 +253,8 @@
 }
 
 async fn take_over(node: &Rc<Node>, token: Token, granted_at: Micros) -> Option<(Core, u64)> {
-    let (pages, _) = retry(|| node.state.list::<RegisterPage>(FLEET)).await?;
-    let (jobs, revision) = retry(|| node.state.list::<JobRecord>(JOBS)).await?;
+    let (pages, _) = retry(|| node.state.vital().list::<RegisterPage>(FLEET)).await?;
+    let (jobs, revision) = retry(|| node.state.vital().list::<JobRecord>(JOBS)).await?;
     let register = pages
         .into_iter()
         .filter_map(|p| {
@@ -274,15 +295,20 @@
     loop {
         let batch = {
             let mut core = leading.core.borrow_mut();
+            core.set_pressed(node.door.is_pressed());
             if leading.entitled() { core.next_batch(runtime::now()) } else { None }
         };
         let Some(batch) = batch else {
             let more = leading.core.borrow().has_writes();
+            if leading.core.borrow().short_of_writes() {
+                node.door.short();
+            }
             let pause = if more { Micros::from_millis(50) } else { Micros::from_secs(1) };
             leading.write_bell.wait_until(runtime::now() + pause).await;
             continue;
         };
         let token = leading.core.borrow().token;
+        node.door.wrote(batch.changes());
         let result = commit(&node, token, &batch).await;
         if result == Err(BatchError::Deposed) {
             // Only our grant itself can have failed: somebody else leads.
@@ -340,7 +366,7 @@
             Write::DropPage { key } => changes.push(Change::Drop { key: fleet_key(key) }),
         }
     }
-    match node.state.txn(conditions, changes).await {
+    match node.state.records().txn(conditions, changes).await {
         Ok(TxnEnd::Applied(mark)) => Ok(mark),
         Ok(TxnEnd::Failed(keys)) => {
             if keys.iter().any(|k| k == LEADER) {
@@ -349,8 +375,8 @@
             let pages = keys.iter().filter_map(|k| k.strip_prefix(FLEET)).map(str::to_owned).collect();
             Err(BatchError::Conflict { jobs: keys.iter().filter_map(|k| job_id_of(k)).collect(), pages })
         }
-        Err(StateError::Refused(s)) => {
-            debug!(status = s, "records not written");
+        Err(e) if e.is_refusal() => {
+            debug!(error = %e, "records not written");
             Err(BatchError::Refused)
         }
         Err(_) => Err(BatchError::Unknown),
@@ -374,7 +400,9 @@
     if !leading.core.borrow().tuning.learn {
         return;
     }
-    let Some((pages, _)) = retry(|| node.state.list::<hopyoke_runtimes::Page>(LEARNED)).await else { return };
+    let Some((pages, _)) = retry(|| node.state.spare().list::<hopyoke_runtimes::Page>(LEARNED)).await else {
+        return;
+    };
     let mut core = leading.core.borrow_mut();
     for pair in pages {
         if let Some(key) = pair.key.strip_prefix(LEARNED) {
@@ -439,7 +467,7 @@
                     l.core.borrow_mut().delete_failed(&machines);
                 }
             }
-            Action::Reread { job } => match node.state.get::<JobRecord>(&job_key(&job)).await {
+            Action::Reread { job } => match node.state.records().get::<JobRecord>(&job_key(&job)).await {
                 Ok(found) => {
                     let found = found.map(|(v, mark)| (v.readable(), mark));
                     match found {
--- a/crates/hopyoke/src/lib.rs
+++ b/crates/hopyoke/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`log`]: what our programs write to standard error.
 //! - [`follow`]: keeps the leader's core up to the records.
 //! - [`records`]: jobs' records as any node reads and changes them.
+//! - [`door`]: who of those that bring new work is let in.
 //! - [`staffed`]: the operators' word on staffed hours.
 //! - [`questions`]: operators' questions about run times.
 //! - [`tuning`]: the operators' settings and the core's tuning.
@@ -20,6 +21,7 @@
 
 pub mod api;
 pub mod cloud;
+pub mod door;
 pub mod finals;
 pub mod flow_calls;
 pub mod flows;
--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -84,8 +84,25 @@
     seen: Cell<Micros>,
     state_ok: Cell<bool>,
     token: Cell<u64>,
+    /// When a call was last answered, and how many users' requests are on their way there.
+    answered: Cell<Micros>,
+    carried: Cell<usize>,
 }
 
+/// Counts a request that is carried to a peer for as long as it is.
+struct Carried<'a>(&'a Cell<usize>);
+
+impl Drop for Carried<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Users' requests carried to one peer at once. Fewer than the streams that it takes: what waits for a
+/// stream until it is given up costs both sides as much as an answer. (Guards against a peer that is
+/// behind being buried under requests that nobody waits for any more.)
+const MOST_CARRIED: usize = 24;
+
 impl PeerLink {
     fn new(peer: Peer) -> PeerLink {
         PeerLink {
@@ -94,6 +111,8 @@
             seen: Cell::new(Micros::ZERO),
             state_ok: Cell::new(false),
             token: Cell::new(0),
+            answered: Cell::new(Micros::ZERO),
+            carried: Cell::new(0),
         }
     }
 
@@ -106,7 +125,18 @@
         self.fresh() && self.state_ok.get()
     }
 
+    /// It has said of late that it leads, its records read.
+    pub fn leads(&self) -> bool {
+        self.fresh() && self.token.get() > 0
+    }
+
+    /// No more users' requests can be carried to it now.
+    pub fn is_busy(&self) -> bool {
+        self.carried.get() >= MOST_CARRIED
+    }
+
     pub fn note(&self, greeting: &Greeting) {
+        // Its own words on what its records need count from when it was asked: `mesh::greet`.
         self.seen.set(runtime::now());
         self.state_ok.set(greeting.state_ok);
         self.token.set(greeting.token);
@@ -140,14 +170,20 @@
         })
         .await;
         match result {
-            Ok(Ok(answer)) => Some(answer.into_inner()),
+            Ok(Ok(answer)) => {
+                self.answered.set(runtime::now());
+                Some(answer.into_inner())
+            }
             Ok(Err(e)) => {
                 debug!(peer = %self.peer.node, error = %e, "mesh call failed");
                 self.reset();
                 None
             }
             Err(_) => {
-                self.reset();
+                // One late answer says little: other calls share the connection.
+                if runtime::now() > self.answered.get() + FRESH {
+                    self.reset();
+                }
                 None
             }
         }
@@ -163,9 +199,11 @@
 
     /// Has the peer answer a user's request.
     pub async fn forward(&self, from: &str, request: &Request, limit: Micros) -> Option<Response> {
-        if !self.fresh() {
+        if !self.fresh() || self.is_busy() {
             return None;
         }
+        self.carried.set(self.carried.get() + 1);
+        let _carried = Carried(&self.carried);
         let message = UserRequest {
             node: from.to_owned(),
             method: request.method.as_str().to_owned(),
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -35,6 +35,7 @@
         node: node.settings.node.clone(),
         state_ok,
         token: node.leading().filter(|l| l.entitled()).map_or(0, |l| l.core.borrow().token.0),
+        need: node.leading().map_or(0.0, |_| node.door.need(runtime::now())),
     }
 }
 
@@ -46,6 +47,9 @@
         let sent = runtime::now();
         if let Some(answer) = link.call(GREET, |mut c| async move { c.greet(mine).await }).await {
             link.note(&answer);
+            if answer.token > 0 {
+                node.door.heard(answer.need, sent);
+            }
             if let Some(leading) = node.leading() {
                 heed(&leading, peer, sent, &answer);
             }
@@ -197,8 +201,9 @@
                 return;
             }
             let _ = reply.send(self::greeting(node, false));
-            if let (Some(id), Some(leading)) = (JobId::parse(&news.job), node.leading()) {
-                crate::follow::read_news(node, &leading, id).await;
+            // One question serves all that is hinted at meanwhile, and the polls that wait.
+            if let Some(leading) = node.leading() {
+                leading.replica.current().await;
             }
         }
         Call::Forward(message, reply) => {
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -1,6 +1,7 @@
 //! What the routines of one controller node share.
 
 use crate::cloud::Cloud;
+use crate::door::Door;
 use crate::finals::Finals;
 use crate::links::Links;
 use crate::promises::Promises;
@@ -9,6 +10,7 @@
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Config, Core};
 use hopyoke_flow::{Engine, Limits};
+use hopyoke_limits::Bounds;
 use hopyoke_policy::Policy;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_settings::Settings;
@@ -24,6 +26,7 @@
     pub policy: Policy,
     pub config: Config,
     pub state: State,
+    pub door: Door,
     pub cloud: Cloud,
     pub catalog: RefCell<Vec<MachineType>>,
     /// The node that leads, as last seen.
@@ -119,10 +122,12 @@
                 pages_from: Cell::new(Micros::ZERO),
             }
         });
+        let bounds = |per_second| Bounds { per_second, nodes: settings.facts.nodes };
         Node {
             flows,
             config: Config::of(&settings),
-            state: State::new(settings.endpoints.state),
+            state: State::new(settings.endpoints.state, bounds(settings.facts.state.rps)),
+            door: Door::new(bounds(settings.facts.state.write_rps)),
             cloud: Cloud::new(settings.endpoints.cloud, settings.facts.cloud.rps),
             catalog: RefCell::default(),
             leader: RefCell::default(),
--- a/crates/hopyoke/src/records.rs
+++ b/crates/hopyoke/src/records.rs
@@ -1,7 +1,7 @@
 //! Jobs' records in the state service, as any node reads and changes them.
 
 use crate::node::Node;
-use crate::state::{StateError, TxnEnd, end_key, job_key};
+use crate::state::{Ask, StateError, TxnEnd, end_key, job_key};
 use hopyoke_core::{EndRecord, JobRecord};
 use hopyoke_runtime as runtime;
 use hopyoke_types::{JobId, Mark, Micros};
@@ -31,14 +31,14 @@
 
 /// Reads a job's record. A record only ever moves from `job/` to `end/`, so reading in this order
 /// can't miss it; only then is it truly missing. (Guards `forgotten` and `invented`.)
-pub async fn lookup(node: &Node, id: &JobId) -> Result<Lookup, StateError> {
+pub async fn lookup(node: &Node, ask: Ask<'_>, id: &JobId) -> Result<Lookup, StateError> {
     if let Some(end) = node.finals.get(id) {
         return Ok(Lookup::Finished(end));
     }
-    if let Some((record, mark)) = node.state.get::<JobRecord>(&job_key(id)).await? {
+    if let Some((record, mark)) = ask.get::<JobRecord>(&job_key(id)).await? {
         return Ok(Lookup::Unfinished(record, mark));
     }
-    Ok(match node.state.get::<EndRecord>(&end_key(id)).await? {
+    Ok(match ask.get::<EndRecord>(&end_key(id)).await? {
         Some((Stored::Value(end), _)) => {
             node.finals.add(id, end);
             Lookup::Finished(end)
@@ -53,13 +53,13 @@
 
 /// Reads the record of a job that is known not to be among the unfinished ones, so most likely over.
 pub async fn lookup_ended(node: &Node, id: &JobId) -> Result<Lookup, StateError> {
-    if let Some((Stored::Value(end), _)) = node.state.get::<EndRecord>(&end_key(id)).await? {
+    if let Some((Stored::Value(end), _)) = node.state.polling().get::<EndRecord>(&end_key(id)).await? {
         node.finals.add(id, end);
         return Ok(Lookup::Finished(end));
     }
     // Only a full look proves that it is missing: an unfinished record that can't be read is in no
     // replica.
-    lookup(node, id).await
+    lookup(node, node.state.polling(), id).await
 }
 
 /// Writes the record of a new job, on the condition that there is none, and on more.
@@ -69,7 +69,7 @@
         vec![Condition { key: job_key(&id), mark: Mark(0) }, Condition { key: end_key(&id), mark: Mark(0) }];
     conditions.extend(more);
     let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
-    let end = node.state.txn(conditions, changes).await?;
+    let end = node.state.accepting().txn(conditions, changes).await?;
     if matches!(end, TxnEnd::Applied(_)) {
         nudge(node, &id);
     }
@@ -81,7 +81,7 @@
 pub async fn cancel(node: &Rc<Node>, id: &JobId) -> Result<Option<Lookup>, StateError> {
     let started = runtime::now();
     loop {
-        let (record, mark) = match lookup(node, id).await? {
+        let (record, mark) = match lookup(node, node.state.cancelling(), id).await? {
             Lookup::Unfinished(record, mark) => (record.readable(), mark),
             found => return Ok(Some(found)),
         };
@@ -91,7 +91,7 @@
         let conditions = vec![Condition { key: job_key(id), mark }, Condition { key: end_key(id), mark: Mark(0) }];
         let changes =
             vec![Change::Drop { key: job_key(id) }, Change::Put { key: end_key(id), value: end, lease: None }];
-        match node.state.txn(conditions, changes).await? {
+        match node.state.cancelling().txn(conditions, changes).await? {
             TxnEnd::Applied(_) => {
                 node.finals.add(id, end);
                 node.promises.note_cancelled(id);
--- a/crates/hopyoke/src/staffed.rs
+++ b/crates/hopyoke/src/staffed.rs
@@ -38,7 +38,7 @@
 }
 
 async fn read(node: &Node) -> Result<(Option<Switch>, Mark), StateError> {
-    Ok(match node.state.get::<Switch>(SWITCH).await? {
+    Ok(match node.state.spare().get::<Switch>(SWITCH).await? {
         Some((Stored::Value(s), mark)) => (Some(s), mark),
         Some((Stored::Unreadable(_), mark)) => {
             warn!("unreadable word on staffed hours: the calendar holds");
@@ -98,7 +98,7 @@
             None => Change::Drop { key: SWITCH.to_owned() },
         };
         let condition = Condition { key: SWITCH.to_owned(), mark };
-        match node.state.txn(vec![condition], vec![change]).await.map_err(not_now)? {
+        match node.state.cancelling().txn(vec![condition], vec![change]).await.map_err(not_now)? {
             TxnEnd::Applied(_) => info!(word = request.word, by = request.by, "staffed hours"),
             TxnEnd::Failed(_) => return Err("somebody else said something at the same moment; look again".into()),
         }
--- a/crates/hopyoke/src/state.rs
+++ b/crates/hopyoke/src/state.rs
@@ -16,6 +16,7 @@
 //! | `flowpage/RUN/N` | a page of its steps' progress |
 
 use hopyoke_flow::RunId;
+use hopyoke_limits::{Bounds, Importance, Pace};
 use hopyoke_runtime as runtime;
 use hopyoke_runtime::http::{Client, ClientError, Method, Response};
 use hopyoke_runtimes::PageKey;
@@ -25,7 +26,7 @@
 use hopyoke_wire::{decode, encode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use tracing::warn;
 
@@ -96,6 +97,9 @@
     /// Certainly not executed.
     #[error("refused ({0})")]
     Refused(u16),
+    /// Not sent: this node's part of what the service takes is used up by what matters as much or more.
+    #[error("no room in this node's part")]
+    NoRoom,
     /// It may have been executed, or may yet be.
     #[error("no answer")]
     Unknown,
@@ -106,6 +110,13 @@
     Malformed(String),
 }
 
+impl StateError {
+    /// The request was certainly not executed, and never will be.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, StateError::Refused(_) | StateError::NoRoom)
+    }
+}
+
 /// How a transaction ended.
 #[derive(Debug)]
 pub enum TxnEnd {
@@ -119,18 +130,29 @@
 
 pub struct State {
     client: Client,
+    /// What is vital has connections of its own: those of the others may all be in use.
+    vital_client: Client,
+    pace: RefCell<Pace>,
     last_answer: Cell<Micros>,
     last_failure: Cell<Micros>,
 }
 
 const READ_LIMIT: Micros = Micros::from_millis(1_500);
 const WRITE_LIMIT: Micros = Micros::from_millis(2_500);
-const PAGE: u32 = 200;
+/// The most that the service gives at once: a new leader reads all records in few requests.
+const PAGE: u32 = 1000;
+/// A page that was refused is asked for again this often, instead of all pages.
+const PAGE_TRIES: u32 = 8;
+/// How long a request may wait for room in this node's part.
+const PATIENCE: Micros = Micros::from_millis(900);
 
 impl State {
-    pub fn new(addr: SocketAddr) -> State {
+    /// `requests`: what the service takes a second from all nodes, and how many nodes there are.
+    pub fn new(addr: SocketAddr, requests: Bounds) -> State {
         State {
             client: Client::new(addr),
+            vital_client: Client::new(addr),
+            pace: RefCell::new(Pace::new(requests, runtime::now())),
             last_answer: Cell::new(Micros::ZERO),
             last_failure: Cell::new(Micros::ZERO),
         }
@@ -146,8 +168,68 @@
         self.last_answer.get() > self.last_failure.get()
     }
 
-    async fn send(&self, method: Method, path: &str, body: &[u8], limit: Micros) -> Result<Response, StateError> {
-        let result = self.client.send(method, path, body, limit).await;
+    /// Requests let through and held back, for operators.
+    pub fn counts(&self, importance: Importance) -> (u64, u64) {
+        self.pace.borrow().counts(importance)
+    }
+
+    /// Leases, grants, and what a new leader reads.
+    pub fn vital(&self) -> Ask<'_> {
+        Ask { state: self, importance: Importance::Vital }
+    }
+
+    /// The leader's records, and its news of them.
+    pub fn records(&self) -> Ask<'_> {
+        Ask { state: self, importance: Importance::Records }
+    }
+
+    /// Cancellations.
+    pub fn cancelling(&self) -> Ask<'_> {
+        Ask { state: self, importance: Importance::Cancels }
+    }
+
+    /// Polls.
+    pub fn polling(&self) -> Ask<'_> {
+        Ask { state: self, importance: Importance::Polls }
+    }
+
+    /// New work. Never waits for room: a user who finds none is told so at once.
+    pub fn accepting(&self) -> Ask<'_> {
+        Ask { state: self, importance: Importance::Accepts }
+    }
+
+    /// What can wait.
+    pub fn spare(&self) -> Ask<'_> {
+        Ask { state: self, importance: Importance::Spare }
+    }
+
+    /// Waits for room in this node's part.
+    async fn room(&self, importance: Importance) -> Result<(), StateError> {
+        let until = runtime::now() + PATIENCE;
+        loop {
+            let now = runtime::now();
+            let wait = match self.pace.borrow_mut().take(importance, 1, now) {
+                Ok(()) => return Ok(()),
+                Err(wait) => wait,
+            };
+            if importance == Importance::Accepts || now + wait > until {
+                return Err(StateError::NoRoom);
+            }
+            runtime::sleep(wait + Micros::from_millis(rand::random_range(1..=10))).await;
+        }
+    }
+
+    async fn send(
+        &self,
+        importance: Importance,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        limit: Micros,
+    ) -> Result<Response, StateError> {
+        self.room(importance).await?;
+        let client = if importance == Importance::Vital { &self.vital_client } else { &self.client };
+        let result = client.send(method, path, body, limit).await;
         if !matches!(&result, Ok(r) if r.status != 503) {
             self.last_failure.set(runtime::now());
         }
@@ -161,8 +243,21 @@
             Err(ClientError::Unknown) => Err(StateError::Unknown),
         }
     }
+}
 
-    pub async fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Found<T>, StateError> {
+/// Requests of one importance.
+#[derive(Clone, Copy)]
+pub struct Ask<'a> {
+    state: &'a State,
+    importance: Importance,
+}
+
+impl Ask<'_> {
+    async fn send(self, method: Method, path: &str, body: &[u8], limit: Micros) -> Result<Response, StateError> {
+        self.state.send(self.importance, method, path, body, limit).await
+    }
+
+    pub async fn get<T: DeserializeOwned>(self, key: &str) -> Result<Found<T>, StateError> {
         let r = self.send(Method::Get, &format!("/kv/{key}"), &[], READ_LIMIT).await?;
         match r.status {
             200 => {
@@ -176,11 +271,20 @@
 
     /// All pairs under a prefix, and the revision as of the first page: watching from there on
     /// misses nothing.
-    pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<(Vec<Pair<T>>, u64), StateError> {
+    pub async fn list<T: DeserializeOwned>(self, prefix: &str) -> Result<(Vec<Pair<T>>, u64), StateError> {
         let mut all: Vec<Pair<T>> = Vec::new();
         let mut revision = None;
         loop {
-            let page: Page<T> = self.page(prefix, all.last().map(|p| p.key.as_str()), PAGE).await?;
+            let mut tries = 0;
+            let page: Page<T> = loop {
+                match self.page(prefix, all.last().map(|p| p.key.as_str()), PAGE).await {
+                    Err(e) if e.is_refusal() && tries < PAGE_TRIES => {
+                        tries += 1;
+                        runtime::sleep(Micros::from_millis(rand::random_range(50..=150))).await;
+                    }
+                    page => break page?,
+                }
+            };
             revision.get_or_insert(page.revision);
             let more = page.more && !page.pairs.is_empty();
             all.extend(page.pairs);
@@ -192,7 +296,7 @@
 
     /// One page of the pairs under a prefix, after a key.
     pub async fn page<T: DeserializeOwned>(
-        &self,
+        self,
         prefix: &str,
         since: Option<&str>,
         most: u32,
@@ -207,7 +311,7 @@
     }
 
     pub async fn txn<V: Serialize>(
-        &self,
+        self,
         conditions: Vec<Condition>,
         changes: Vec<Change<V>>,
     ) -> Result<TxnEnd, StateError> {
@@ -220,7 +324,7 @@
         }
     }
 
-    pub async fn grant(&self, ttl: Micros) -> Result<u64, StateError> {
+    pub async fn grant(self, ttl: Micros) -> Result<u64, StateError> {
         let body = encode(&Grant { ttl_ms: ttl.as_millis() });
         let r = self.send(Method::Post, "/holds", &body, READ_LIMIT).await?;
         match r.status {
@@ -229,7 +333,7 @@
         }
     }
 
-    pub async fn renew(&self, lease: u64, limit: Micros) -> Result<(), StateError> {
+    pub async fn renew(self, lease: u64, limit: Micros) -> Result<(), StateError> {
         let r = self.send(Method::Post, &format!("/holds/{lease}/renew"), &[], limit).await?;
         match r.status {
             200..=299 => Ok(()),
@@ -239,7 +343,7 @@
     }
 
     /// Ends a lease; `Ok` means that it is gone for certain.
-    pub async fn release(&self, lease: u64) -> Result<(), StateError> {
+    pub async fn release(self, lease: u64) -> Result<(), StateError> {
         let r = self.send(Method::Delete, &format!("/holds/{lease}"), &[], READ_LIMIT).await?;
         match r.status {
             200..=299 | 404 => Ok(()),
@@ -249,7 +353,7 @@
 
     /// Waits for changes under a prefix after a revision, at most for `wait`.
     pub async fn changes<T: DeserializeOwned>(
-        &self,
+        self,
         prefix: &str,
         since: u64,
         wait: Micros,
