A leader that can't hear its machines neither gives them up nor rents in their place

Change: while the process wakes over 0.4 s late, or its connections are used up, and for two report intervals after, silence gives no machine up, a lapsed one is kept, and nothing new is rented.

--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -202,6 +202,8 @@
     cut_zones: Vec<bool>,
     /// No replica is moved before this.
     next_move: Micros,
+    /// Until then silence speaks against us, not against machines.
+    deaf_until: Micros,
 }
 
 impl Core {
@@ -251,6 +253,7 @@
             looks: Cell::new(0),
             cut_zones: Vec::new(),
             next_move: Micros::ZERO,
+            deaf_until: Micros::ZERO,
         };
         for (id, record, mark) in jobs {
             core.job_seen(id, record, mark, now);
@@ -271,6 +274,22 @@
         core
     }
 
+    /// Reports can't all be heard: this node is behind on its own processor, or has no room for
+    /// connections. Until two report intervals after the last such moment no machine is given up for
+    /// its silence, and none is rented in place of those that are not heard. (Guards against a fleet
+    /// that is deleted and rented anew because its leader is overloaded: seen at four to six times
+    /// heirloomlane-fleet's size.)
+    pub fn deaf(&mut self, now: Micros) {
+        if now >= self.deaf_until {
+            info!(machines = self.machines.len(), "not all machines can be heard");
+        }
+        self.deaf_until = now + self.cfg.report.times(2);
+    }
+
+    fn is_deaf(&self, now: Micros) -> bool {
+        now < self.deaf_until
+    }
+
     pub fn set_catalog(&mut self, types: Vec<MachineType>) {
         if self.types != types {
             self.types = types;
@@ -527,6 +546,7 @@
         if watched.len() < 3 || fresh.count() * 10 < watched.len() * 6 {
             return;
         }
+        let deaf = self.is_deaf(now);
         // One that the cloud no longer lists is most likely gone: the list proves nothing, but the
         // deletion does. It is asked first, and given up if it does not answer either.
         // A new leader gives up the last few that did not answer it: work of the whole fleet waits for
@@ -542,7 +562,7 @@
             .filter(|m| {
                 let quiet = now.saturating_sub(since(m));
                 (last_few && self.unaccounted(m))
-                    || (quiet >= silent_after && !self.zone_cut(&m.zone))
+                    || (quiet >= silent_after && !self.zone_cut(&m.zone) && !deaf)
                     || unlisted(m) && (m.unreachable || quiet >= unlisted_after)
             })
             .map(|m| m.id.clone())
@@ -567,6 +587,7 @@
     /// Sessions end by themselves when we have not answered for long enough; then everything on
     /// the machine is gone. (Guards `ran_twice`: not a moment earlier.)
     fn lapse_leases(&mut self, now: Micros) {
+        let deaf = self.is_deaf(now);
         let lapsed: Vec<MachineId> = self
             .machines
             .values()
@@ -577,7 +598,7 @@
         let kept: Vec<MachineId> = self
             .machines
             .values()
-            .filter(|m| m.phase == Phase::Lost && !m.deleting)
+            .filter(|m| m.phase == Phase::Lost && !m.deleting && !deaf)
             .filter(|m| now >= m.lease_end + self.boot_time(&m.machine_type))
             .map(|m| m.id.clone())
             .collect();
@@ -592,7 +613,7 @@
             let cut = self.machines.get(&id).is_some_and(|m| self.zone_cut(&m.zone));
             if let Some(m) = self.machines.get_mut(&id) {
                 m.phase = Phase::Lost;
-                m.deleting |= !cut;
+                m.deleting |= !cut && !deaf;
                 m.idle_since = None;
                 info!(machine = %id, zone = %m.zone, spot = m.spot, tasks = held, session = m.session, "machine lost: its lease lapsed");
             }
--- a/crates/hopyoke-core/src/rent.rs
+++ b/crates/hopyoke-core/src/rent.rs
@@ -96,6 +96,9 @@
                 self.actions.push_back(rent_action(&name, r));
             }
         }
+        if self.is_deaf(now) {
+            return;
+        }
         for (offer, count) in demand.offers {
             let busy = self.rents.open.values().any(|r| r.offer == offer);
             if busy || self.rents.open.len() >= self.tuning.rent_requests {
--- a/crates/hopyoke/src/serve.rs
+++ b/crates/hopyoke/src/serve.rs
@@ -37,6 +37,7 @@
         }
         runtime::spawn_until(node.cancel.clone(), probe_state(node.clone()));
         runtime::spawn_until(node.cancel.clone(), carriage::run(node.clone()));
+        runtime::spawn_until(node.cancel.clone(), watch_hearing(node.clone()));
         flows::start(&node);
         // Leave sockets for the state service, the cloud, workers and the mesh.
         let connections = node.most_connections() as usize;
@@ -85,6 +86,25 @@
     }
 }
 
+/// Watches how far this process is behind, and whether workers find room: a leader that can't hear all
+/// its machines must not take their silence for theirs.
+async fn watch_hearing(node: Rc<Node>) {
+    let every = Micros::from_millis(250);
+    loop {
+        let due = runtime::now() + every;
+        runtime::sleep_until(due).await;
+        let now = runtime::now();
+        if now > due + BEHIND || node.open.count() >= node.most_connections() {
+            if let Some(leading) = node.leading() {
+                leading.core.borrow_mut().deaf(now);
+            }
+        }
+    }
+}
+
+/// A process that wakes so much later than it wanted is behind on its processor.
+const BEHIND: Micros = Micros::from_millis(400);
+
 /// Every node needs the machine types to tell which jobs can run.
 async fn keep_catalog(node: Rc<Node>) {
     loop {
