--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -161,7 +161,7 @@
     fn read_records(&mut self, i: usize, process: u64, lease: u64, token: u64, until: Micros, at: Micros) {
         self.send(Host::Node(i), Host::State, move |w| {
             // One page each of the register and, for so many, of the jobs; a refused one is asked for again.
-            let page = if w.limits.as_ref().is_some_and(|l| l.unpaced) { 200 } else { 1000 };
+            let page = if w.limits.as_ref().is_some_and(|l| l.unpaced) { 200 } else { 400 };
             let pages = 2 + w.store.keys.range("job/".to_owned().."job0".to_owned()).count() / page;
             if (0..pages).any(|_| !w.state_takes(0)) {
                 let again = Micros::from_millis(250);
--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -138,7 +138,6 @@
     }
 
     pub fn note(&self, greeting: &Greeting) {
-        // Its own words on what its records need count from when it was asked: `mesh::greet`.
         self.seen.set(runtime::now());
         self.state_ok.set(greeting.state_ok);
         self.token.set(greeting.token);
