Arrays of a tenant take turns by work left per wait; scarce kinds left to who needs them

A guest's class that fits one kind of machine only was served by exactly half: work with a choice had filled that kind.

Change: hopyoke-admission orders a tenant's own arrays, hopyoke-spread knows kinds without alternative; both without I/O.

--- a/crates/hopyoke-core/src/hours.rs
+++ b/crates/hopyoke-core/src/hours.rs
@@ -45,6 +45,12 @@
         self.staffing.clock = (now, time_of_day);
     }
 
+    /// How long ago a time of day was, in microseconds; as exact as the nodes' clocks.
+    pub(super) fn ago(&self, time_us: u64, now: Micros) -> Micros {
+        let (at, time_of_day) = self.staffing.clock;
+        time_of_day + (now - at) - Micros(time_us)
+    }
+
     /// Looks whether staffed hours have begun or ended; the calendar itself only when a window is over.
     pub(super) fn mind_hours(&mut self, now: Micros) {
         let s = &mut self.staffing;
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -15,6 +15,7 @@
 mod needs;
 mod offers;
 mod preempt;
+mod turns;
 mod view;
 mod wind_up;
 
@@ -49,7 +50,7 @@
     pub(super) fn plan(&mut self, now: Micros) -> Demand {
         self.plans += 1;
         self.looked_at(self.jobs.len() + 2 * self.machines.len());
-        let order = self.order();
+        let order = self.order(now);
         let mut plan = self.new_plan(&order, now);
         // A task on a machine whose job we don't know may belong to any team: until it is gone
         // (it has been told to stop) nothing that counts against a limit is started.
@@ -112,6 +113,7 @@
             preempt_searches: 0,
             lending: Vec::new(),
             soon: None,
+            niches: self.niches(order),
         };
         plan.demand = vec![0; plan.offers.len()];
         self.fill_bins(&mut plan, now);
@@ -160,7 +162,7 @@
     }
 
     /// Jobs with work that has no place, in the order in which they get room.
-    fn order(&mut self) -> Vec<JobId> {
+    fn order(&mut self, now: Micros) -> Vec<JobId> {
         let mut jobs: Vec<(u64, &JobId)> = self.jobs.iter().map(|(id, j)| (j.accepted_us, id)).collect();
         jobs.sort_unstable();
         let mut claimed = vec![Amounts::default(); self.cfg.teams.len()];
@@ -190,6 +192,7 @@
             keyed.push(((class, spec.priority, accepted_us), id.clone()));
         }
         keyed.sort_unstable();
+        self.take_turns(&mut keyed, now);
         if self.tuning.use_for_deadlines {
             self.order_by_latest_start(&mut keyed);
         }
--- a/crates/hopyoke-core/src/plan/needs.rs
+++ b/crates/hopyoke-core/src/plan/needs.rs
@@ -4,6 +4,7 @@
 use crate::Core;
 use crate::amounts::Amounts;
 use crate::fleet::ImageKey;
+use hopyoke_spread::Niches;
 use hopyoke_types::JobId;
 use hopyoke_wire::user::{JobKind, JobSpec, Priority};
 use std::rc::Rc;
@@ -20,6 +21,8 @@
     pub(super) zone: Option<usize>,
     /// Types allowed, by their place in the catalog.
     pub(super) kinds: Vec<bool>,
+    /// How many types can hold a task of it.
+    pub(super) choices: usize,
     /// It failed on several machines, so no machine is avoided for that.
     pub(super) suspect: bool,
     /// Spot machines are to be had: it leaves empty ordinary ones to work that needs them.
@@ -81,6 +84,7 @@
 impl Core {
     pub(super) fn needs(&self, id: &JobId) -> Option<Needs> {
         let job = self.jobs.get(id)?;
+        let kinds: Vec<bool> = self.kinds_of(&job.spec).collect();
         let mut needs = Needs {
             id: id.clone(),
             spec: job.spec.clone(),
@@ -88,11 +92,8 @@
             image: job.image,
             team: self.team_index(&job.spec.team),
             zone: job.spec.zone.as_ref().map(|z| self.cfg.zone_index(z)),
-            kinds: self
-                .types
-                .iter()
-                .map(|t| job.spec.types.as_ref().is_none_or(|names| names.contains(&t.name)))
-                .collect(),
+            choices: kinds.iter().filter(|fits| **fits).count(),
+            kinds,
             suspect: job.suspect(self.tuning.suspect_after),
             spare_ordinary: false,
             zones: vec![0; self.cfg.zones.len() + 1],
@@ -107,6 +108,23 @@
         Some(needs)
     }
 
+    /// Which types hold a task of the job, by their place in the catalog.
+    fn kinds_of(&self, spec: &JobSpec) -> impl Iterator<Item = bool> {
+        let task = Amounts::of_task(spec);
+        self.types.iter().map(move |t| {
+            spec.types.as_ref().is_none_or(|names| names.contains(&t.name)) && task.fits_in(&Amounts::of_type(t))
+        })
+    }
+
+    /// Types that some of the waiting work has no alternative to.
+    pub(super) fn niches(&self, waiting: &[JobId]) -> Niches {
+        let mut niches = Niches::none(self.types.len());
+        for job in waiting.iter().filter_map(|id| self.jobs.get(id)) {
+            niches.add(self.kinds_of(&job.spec).enumerate().filter(|(_, fits)| *fits).map(|(kind, _)| kind));
+        }
+        niches
+    }
+
     /// The job may use this machine.
     pub(super) fn allowed(&self, needs: &Needs, bin: &Bin) -> bool {
         needs.kinds[bin.kind]
--- a/crates/hopyoke-core/src/plan/offers.rs
+++ b/crates/hopyoke-core/src/plan/offers.rs
@@ -6,6 +6,9 @@
 use crate::rent::Offer;
 use hopyoke_types::Micros;
 
+/// A kind of machine that other work has no alternative to counts as so much dearer.
+const NICHE_BURDEN: f64 = 1.25;
+
 impl Plan {
     /// The cheapest offer per task that the job can place on it.
     pub(super) fn best_offer(&self, needs: &Needs, zone: Option<usize>, left: u32) -> Option<usize> {
@@ -20,7 +23,8 @@
                 continue;
             }
             let slots = self.kinds[o.kind].holds(&needs.task).min(left.max(1));
-            let cost = o.cost / f64::from(slots);
+            let avoided = self.niches.avoids(o.kind, needs.choices);
+            let cost = o.cost * if avoided { NICHE_BURDEN } else { 1.0 } / f64::from(slots);
             if slots > 0 && best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, i));
             }
--- /dev/null
+++ b/crates/hopyoke-core/src/plan/turns.rs
@@ -0,0 +1,38 @@
+//! Whose turn it is inside a tenant (a team with a class): see [`hopyoke_admission`].
+
+use crate::Core;
+use hopyoke_admission::Waiting;
+use hopyoke_types::{JobId, Micros};
+use hopyoke_wire::user::{JobKind, Priority};
+use std::collections::BTreeMap;
+
+/// A job in the order of placement: class of importance, priority, acceptance.
+type Keyed = ((u8, Priority, u64), JobId);
+
+impl Core {
+    /// Arrays of one tenant change places among themselves, within one importance: most of them are to
+    /// be served when the tenant offers more than it can get. (Guards against a day on which less
+    /// than half of a class ends although its team's limit was used all day; scenario
+    /// burst_mostly_served.)
+    pub(super) fn take_turns(&self, keyed: &mut [Keyed], now: Micros) {
+        let mut tenants: BTreeMap<(u8, Priority, &str, &str), usize> = BTreeMap::new();
+        let (mut places, mut waiting) = (Vec::new(), Vec::new());
+        for (place, ((class, priority, accepted_us), id)) in keyed.iter().enumerate() {
+            let Some(job) = self.jobs.get(id).filter(|j| j.spec.kind == JobKind::Array) else { continue };
+            let spec = &job.spec;
+            let next = tenants.len();
+            let tenant = *tenants.entry((*class, *priority, &spec.team, &spec.class)).or_insert(next);
+            places.push(place);
+            waiting.push(Waiting {
+                tenant,
+                work_s: f64::from(job.unplaced()) * spec.estimate_s.max(1.0),
+                waited: self.ago(*accepted_us, now),
+            });
+        }
+        let order = hopyoke_admission::take_turns(&waiting);
+        let jobs: Vec<Keyed> = order.into_iter().map(|i| keyed[places[i]].clone()).collect();
+        for (place, job) in places.into_iter().zip(jobs) {
+            keyed[place] = job;
+        }
+    }
+}
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -6,6 +6,7 @@
 use crate::amounts::{Amounts, Team};
 use crate::fleet::{ImageKey, Phase};
 use crate::rent::Offer;
+use hopyoke_spread::Niches;
 use hopyoke_types::{MachineId, Micros};
 use hopyoke_wire::user::JobKind;
 use tracing::debug;
@@ -78,6 +79,8 @@
     /// Room that running tasks will most likely have made before a machine could boot; `None`: not
     /// looked up yet.
     pub(super) soon: Option<Vec<Soon>>,
+    /// Kinds of machine that some of the waiting work has no alternative to.
+    pub(super) niches: Niches,
 }
 
 /// Room that is about to be free.
@@ -148,6 +151,10 @@
         if !bin.empty {
             score += 20.0;
         }
+        // Work that has a choice leaves room to work that has none.
+        if self.niches.avoids(bin.kind, needs.choices) {
+            score -= 60.0;
+        }
         if needs.spec.kind == JobKind::Service {
             // Replicas stay long: packed together they leave whole machines to gangs, and to be
             // returned. Spread over zones, one zone's end takes few of a job's.
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -427,8 +427,8 @@
         let ok = what == "least" && n >= num(word(it)) as usize;
         return ok.then_some(()).ok_or(format!("{n} of {} jobs are accepted", w.jobs.len()));
     }
-    if id.as_str() == "served" {
-        return expect_served(w, what, it);
+    if id.as_str() == "served" || id.as_str() == "ended" {
+        return expect_served(w, id.as_str() == "ended", what, it);
     }
     if id.as_str() == "started" {
         let n = w.jobs.values().filter(|j| j.starts > 0).count();
@@ -478,12 +478,23 @@
 }
 
 /// `expect served least SHARE`: of the jobs of each tenant (a team with a class) so many have started,
-/// of those that were submitted, accepted or not, and not cancelled.
-fn expect_served(w: &World, what: &str, it: &mut Words) -> Result<(), String> {
+/// of those that were submitted, accepted or not, and not cancelled; `expect ended least SHARE`: of the
+/// jobs of each team and of each class so many are done, services aside.
+fn expect_served(w: &World, ended: bool, what: &str, it: &mut Words) -> Result<(), String> {
     let mut tenants: BTreeMap<(String, String), (u32, u32)> = BTreeMap::new();
     for job in w.jobs.values().filter(|j| j.cancelled.is_none()) {
-        let count = tenants.entry((job.spec.team.clone(), job.spec.class.clone())).or_default();
-        *count = (count.0 + u32::from(job.starts > 0), count.1 + 1);
+        let served = match job.spec.kind {
+            JobKind::Service if ended => continue,
+            _ if ended => job.done_at.is_some(),
+            _ => job.starts > 0,
+        };
+        // The users count classes and teams, each for itself.
+        let (team, class) = (job.spec.team.clone(), job.spec.class.clone());
+        let counted = if ended { vec![(team, "any".into()), ("any".into(), class)] } else { vec![(team, class)] };
+        for tenant in counted {
+            let count = tenants.entry(tenant).or_default();
+            *count = (count.0 + u32::from(served), count.1 + 1);
+        }
     }
     let share = |(started, all): &(u32, u32)| f64::from(*started) / f64::from((*all).max(1));
     let least = tenants.iter().min_by(|a, b| share(a.1).total_cmp(&share(b.1)));
