Arrays run ahead of their window, reports stay within 64 KiB, the emulator stands still

Cause: a guest's array of 25,000 tasks of seconds was held to 329 open tasks by the size of its record and missed its aim; a larger one would have starved. Of the same kind: a report of a large machine full of tiny tasks passes 64 KiB, is taken by nobody, and its session lapses.

Change: bits instead of ranges in records where shorter, four windows open, at most 560 attempts listed by a machine. Scenarios huge_array and tiny_tasks seen to fail first; leader_stands_still, back_at_once.

--- a/crates/hopyoke-core/src/fleet.rs
+++ b/crates/hopyoke-core/src/fleet.rs
@@ -157,6 +157,7 @@
     pub direct_open: bool,
     /// The direct order under way is a question after a takeover.
     pub probing: bool,
+    pub probed_at: Micros,
     pub direct_retry_at: Micros,
 }
 
@@ -194,6 +195,7 @@
             unreachable: false,
             direct_open: false,
             probing: false,
+            probed_at: Micros::ZERO,
             direct_retry_at: Micros::ZERO,
         }
     }
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -101,11 +101,22 @@
         self.lease.with_drift() + self.margin
     }
 
-    /// At most this many unfinished tasks of a job are looked at, lowest numbers first. So the
-    /// ranges of done tasks never fragment into more parts than this, and a record always fits
-    /// its value: each part takes at most 14 characters ("[99999,99999],").
-    pub fn window(&self) -> usize {
-        (self.value_bytes.saturating_sub(3584) / 14).max(16)
+    /// What a record's done tasks may take, in characters.
+    fn done_chars(&self) -> usize {
+        self.value_bytes.saturating_sub(3584)
+    }
+
+    /// This many of a job's unfinished tasks, lowest numbers first, are always looked at: what is done among
+    /// them never falls into more ranges than fit.
+    pub fn window(&self) -> u32 {
+        (self.done_chars() / ranges::RANGE_CHARS).max(16) as u32
+    }
+
+    /// Others are looked at up to this far behind the first unfinished one: within this span a bit for
+    /// each task fits. Whatever is done beyond it was in the window, and then ranges are few. So a record
+    /// always fits its value. (Scenarios fragmented_record, huge_array.)
+    pub fn span(&self) -> u32 {
+        (self.done_chars().saturating_sub(64) * 6) as u32
     }
 }
 
--- a/crates/hopyoke-core/src/plan/each.rs
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -7,14 +7,26 @@
 use hopyoke_types::{JobId, Micros};
 use hopyoke_wire::user::Priority;
 
+/// In all so many times a job's window may be under way. What is ahead of the window takes room that is
+/// there; no machine is rented for it, and nothing is stopped.
+const AHEAD: usize = 4;
+
 impl Core {
     /// Arrays and services: each task for itself.
     pub(super) fn place_each(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
         let (Some(mut needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
         let (mut unknown, mut soon) = (false, false);
         let mut startable = Vec::new();
-        for index in job.done.missing(job.spec.tasks).take(self.cfg.window()) {
+        let mut ahead = Vec::new();
+        let window = self.cfg.window() as usize;
+        let far = job.done.first_missing().saturating_add(self.cfg.span());
+        let most_ahead = (AHEAD * window).saturating_sub(job.places.len());
+        for (n, index) in job.done.missing(job.spec.tasks).enumerate() {
+            if n >= window && (index >= far || ahead.len() >= most_ahead) {
+                break;
+            }
             match self.check(job, index) {
+                Verdict::StartAnew if n >= window => ahead.push(index),
                 Verdict::StartAnew => startable.push(index),
                 Verdict::Unknown => unknown = true,
                 Verdict::Reconnect | Verdict::AcceptResult => {}
@@ -84,6 +96,16 @@
                 plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
             }
         }
+        for index in ahead {
+            let bin = candidates.best(&needs, plan, |b| plan.score(&needs, b)).filter(|b| plan.bins[*b].ready);
+            let Some(bin) = bin.filter(|_| plan.charge(&needs, 1, &self.cfg.teams)) else { break };
+            let image = plan.has_image(&plan.bins[bin], needs.image);
+            plan.take(bin, &mut needs);
+            if let Some(machine) = plan.bins[bin].machine.clone() {
+                let attempt = self.new_attempt(now);
+                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
+            }
+        }
         match (unknown, soon) {
             (true, _) => "recovery",
             (_, true) => "running tasks that end soon",
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -11,6 +11,11 @@
 use hopyoke_wire::user::JobKind;
 use tracing::debug;
 
+/// A worker lists each attempt, ended ones until they are recorded, in some 90 characters, and a report may
+/// have 64 KiB. (Guards against a report that no node takes, and so a session that lapses: large machines
+/// full of tiny tasks; scenario tiny_tasks.)
+const MOST_REPORTED: usize = 560;
+
 /// A machine, real or yet to be rented, in a plan.
 pub(super) struct Bin {
     pub(super) machine: Option<MachineId>,
@@ -23,6 +28,8 @@
     pub(super) spot: bool,
     pub(super) free: Amounts,
     pub(super) empty: bool,
+    /// Attempts that its worker's report still has room for.
+    pub(super) reportable: usize,
     /// Replicas on it, which stay long.
     pub(super) replicas: u32,
     /// What its tasks will free that have been told to go at once.
@@ -92,7 +99,7 @@
 }
 
 /// What of a bin a gang's try changes.
-pub(super) type Before = (Amounts, bool, u32, Option<ImageKey>, bool);
+pub(super) type Before = (Amounts, bool, usize, u32, Option<ImageKey>, bool);
 
 impl Bin {
     pub(super) fn rented(kind: usize, zone: usize, spot: bool, total: Amounts) -> Bin {
@@ -104,6 +111,7 @@
             spot,
             free: total,
             empty: true,
+            reportable: MOST_REPORTED,
             replicas: 0,
             freeing: Amounts::default(),
             preemptible: Amounts::default(),
@@ -117,11 +125,11 @@
     }
 
     pub(super) fn before(&self) -> Before {
-        (self.free, self.empty, self.replicas, self.latest, self.wanted)
+        (self.free, self.empty, self.reportable, self.replicas, self.latest, self.wanted)
     }
 
     pub(super) fn restore(&mut self, before: Before) {
-        (self.free, self.empty, self.replicas, self.latest, self.wanted) = before;
+        (self.free, self.empty, self.reportable, self.replicas, self.latest, self.wanted) = before;
     }
 }
 
@@ -213,6 +221,10 @@
         let b = &mut self.bins[bin];
         b.free = b.free - needs.task;
         b.empty = false;
+        b.reportable = b.reportable.saturating_sub(1);
+        if b.reportable == 0 {
+            b.free = Amounts::default();
+        }
         b.replicas += u32::from(needs.spec.kind == JobKind::Service);
         b.latest = Some(needs.image);
         b.wanted = true;
@@ -251,8 +263,13 @@
                 kind,
                 zone: cfg.zone_index(&m.zone),
                 spot: m.spot,
-                free: plan.kinds[kind] - load.used,
+                free: if m.slots().len() < MOST_REPORTED {
+                    plan.kinds[kind] - load.used
+                } else {
+                    Amounts::default()
+                },
                 empty: load.live == 0,
+                reportable: MOST_REPORTED.saturating_sub(m.slots().len()),
                 replicas: load.replicas,
                 freeing: load.freeing,
                 preemptible: load.preemptible,
--- a/crates/hopyoke-core/src/ranges.rs
+++ b/crates/hopyoke-core/src/ranges.rs
@@ -1,11 +1,91 @@
 //! Sets of task numbers, kept as sorted inclusive ranges.
+//!
+//! In a record they are a list of ranges, or, where that is shorter, a text: the first number that is
+//! missing, a colon, and a bit for each number from there on, eight to a byte, lowest first, in base64.
 
-use serde::{Deserialize, Serialize};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Ranges(Vec<(u32, u32)>);
 
+/// A range takes at most so many characters in a record.
+pub(crate) const RANGE_CHARS: usize = 14;
+/// The first missing number and the colon, beside the bits.
+const TEXT_EXTRA: usize = 16;
+/// No job has more tasks; larger numbers come from outside and are dropped.
+const MOST: u32 = 100_000;
+
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Form {
+    List(Vec<(u32, u32)>),
+    Text(String),
+}
+
+impl Serialize for Ranges {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if self.text_chars() < self.0.len() * RANGE_CHARS {
+            return Form::Text(self.to_text()).serialize(s);
+        }
+        self.0.serialize(s)
+    }
+}
+
+impl<'de> Deserialize<'de> for Ranges {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Ranges, D::Error> {
+        match Form::deserialize(d)? {
+            Form::List(parts) => Ok(Ranges(parts)),
+            Form::Text(text) => {
+                Ranges::of_text(&text).ok_or_else(|| serde::de::Error::custom("malformed set of task numbers"))
+            }
+        }
+    }
+}
+
+impl Ranges {
+    /// The first number that is missing.
+    pub fn first_missing(&self) -> u32 {
+        self.0.first().filter(|p| p.0 == 0).map_or(0, |p| p.1 + 1)
+    }
+
+    /// At most so many characters in a record.
+    pub fn chars(&self) -> usize {
+        (self.0.len() * RANGE_CHARS).min(self.text_chars())
+    }
+
+    fn text_chars(&self) -> usize {
+        let last = self.0.last().map_or(0, |p| p.1 + 1);
+        let bits = last.saturating_sub(self.first_missing()) as usize;
+        TEXT_EXTRA + bits.div_ceil(8).div_ceil(3) * 4
+    }
+
+    fn to_text(&self) -> String {
+        let first = self.first_missing();
+        let last = self.0.last().map_or(0, |p| p.1 + 1).max(first);
+        let mut bytes = vec![0u8; ((last - first) as usize).div_ceil(8)];
+        for &(a, b) in self.0.iter().filter(|p| p.0 >= first) {
+            for x in a..=b {
+                bytes[((x - first) / 8) as usize] |= 1 << ((x - first) % 8);
+            }
+        }
+        format!("{first}:{}", STANDARD_NO_PAD.encode(bytes))
+    }
+
+    fn of_text(text: &str) -> Option<Ranges> {
+        let (first, bits) = text.split_once(':')?;
+        let first: u32 = first.parse().ok().filter(|f| *f <= MOST)?;
+        let bytes = STANDARD_NO_PAD.decode(bits).ok().filter(|b| b.len() <= MOST as usize / 8 + 1)?;
+        let mut out = Ranges::all(first);
+        let set = |x: &u32| bytes[(x / 8) as usize] >> (x % 8) & 1 == 1;
+        for x in (0..bytes.len() as u32 * 8).filter(set) {
+            out.insert(first + x);
+        }
+        Some(out)
+    }
+}
+
 impl Ranges {
     pub fn all(n: u32) -> Ranges {
         if n == 0 { Ranges::default() } else { Ranges(vec![(0, n - 1)]) }
--- a/crates/hopyoke-core/src/records.rs
+++ b/crates/hopyoke-core/src/records.rs
@@ -168,7 +168,7 @@
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let end = job.is_over();
             let cost = if end { 2 } else { 1 };
-            let size = 1500 + job.done.parts() * 14;
+            let size = 1500 + job.done.chars();
             if !draft.has_room(cost, size) {
                 break;
             }
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -157,6 +157,7 @@
             listed.push((task.clone(), t.attempt));
             self.merge_task(id, task, t, now);
         }
+        listed.sort_unstable();
         self.merge_absent(id, &listed, hello, report, now);
         true
     }
@@ -335,7 +336,7 @@
         }
     }
 
-    /// What the report does not list is gone, with one exception: a start that has not been
+    /// What the report does not list (`listed` is sorted) is gone, with one exception: a start that has not been
     /// proven to be unexecuted.
     fn merge_absent(
         &mut self,
@@ -350,7 +351,7 @@
         let absent: Vec<(TaskId, Attempt)> = m
             .slots()
             .iter()
-            .filter(|(k, _)| !listed.contains(k))
+            .filter(|(k, _)| listed.binary_search(k).is_err())
             .filter(|(_, s)| match s.state {
                 // One report is in flight at a time, so a newer report shows whether the orders
                 // that answered an older one were executed. A direct answer may overtake them.
@@ -527,6 +528,7 @@
             }
             m.direct_open = true;
             m.probing = true;
+            m.probed_at = now;
             self.open_probes += 1;
             // Most machines are in their first session; another is told by the refusal.
             let session = m.session.max(1);
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -1,6 +1,7 @@
 //! Controllers: the real core, with leadership and messages as `lead` does them.
 
 use super::store::{Change, Value};
+use super::worker::{MOST_CHARS, report_chars};
 use super::{Host, World};
 use hopyoke_core::entitlement::{Entitlement, PROMISE};
 use hopyoke_core::{Action, Batch, BatchError, Core, EndRecord, JobRecord, RentOutcome, Write};
@@ -61,7 +62,7 @@
         n.cancelled.clear();
         let p = n.process;
         let wait = Micros(self.random(1_000, 100_000));
-        self.after(wait, move |w| w.seek(i, p, true));
+        self.timer(i, wait, move |w| w.seek(i, p, true));
     }
 
     pub fn crash_node(&mut self, i: usize, back: Micros) {
@@ -69,6 +70,7 @@
         n.up = false;
         n.lead = None;
         n.process += 1;
+        self.standstills.remove(&i);
         self.log(|| format!("node {i} crashes"));
         self.after(back, move |w| w.start_node(i));
     }
@@ -95,10 +97,10 @@
         let others_too = sent >= n.kept_until;
         if sent < n.own_kept_until {
             let wait = n.own_kept_until - sent;
-            return self.after(wait, move |w| w.seek(i, process, first));
+            return self.timer(i, wait, move |w| w.seek(i, process, first));
         }
         if let Err(wait) = self.finds_room(i, Importance::Vital) {
-            return self.after(wait, move |w| w.seek(i, process, first));
+            return self.timer(i, wait, move |w| w.seek(i, process, first));
         }
         self.nodes[i].tries += 1;
         self.send(Host::Node(i), Host::State, move |w| {
@@ -143,7 +145,7 @@
             }
         });
         let pause = Micros(self.random(200_000, 500_000));
-        self.after(pause, move |w| w.seek(i, process, first));
+        self.timer(i, pause, move |w| w.seek(i, process, first));
     }
 
     fn granted(&mut self, i: usize, process: u64, lease: u64, token: u64, sent: Micros) {
@@ -231,11 +233,11 @@
     fn renew(&mut self, i: usize, process: u64) {
         let Some(lease) = self.lead(i, process).map(|l| l.lease) else { return };
         let pause = Micros(self.ttl.0 / 4);
-        self.after(pause, move |w| w.renew(i, process));
+        self.timer(i, pause, move |w| w.renew(i, process));
         let sent = self.now;
         match self.finds_room(i, Importance::Vital) {
             Ok(()) => self.renew_once(i, process, lease, sent),
-            Err(wait) => self.after(wait, move |w| w.renew_once(i, process, lease, sent)),
+            Err(wait) => self.timer(i, wait, move |w| w.renew_once(i, process, lease, sent)),
         }
     }
 
@@ -312,7 +314,7 @@
         if let Some(lead) = self.lead(i, process) {
             lead.right.answered(i, process, sent, Some(PROMISE), sent);
         }
-        self.after(Micros::from_millis(600), move |w| w.greet(i, process));
+        self.timer(i, Micros::from_millis(600), move |w| w.greet(i, process));
     }
 
     fn watch(&mut self, i: usize, process: u64) {
@@ -322,7 +324,7 @@
         let (since, number) = (lead.since, lead.watch);
         self.send(Host::Node(i), Host::State, move |w| w.watch_at_store(i, process, since, number, sent));
         // An answer that got lost: ask again.
-        self.after(WATCH + Micros::from_millis(1500), move |w| {
+        self.timer(i, WATCH + Micros::from_millis(1500), move |w| {
             if w.lead(i, process).is_some_and(|l| l.watch == number) {
                 w.watch(i, process);
             }
@@ -371,12 +373,12 @@
             return;
         }
         self.act(i, process);
-        self.after(Micros::from_millis(100), move |w| w.tick(i, process));
+        self.timer(i, Micros::from_millis(100), move |w| w.tick(i, process));
     }
 
     /// Lets the core decide and does what it wants done.
     fn act(&mut self, i: usize, process: u64) {
-        if !self.entitled(i) {
+        if !self.entitled(i) || self.stands_still(i) {
             return;
         }
         let now = self.now;
@@ -481,7 +483,7 @@
                 self.send(Host::Node(i), Host::Workers, move |w| {
                     w.direct_arrives(i, process, machine, token, session, orders, sent);
                 });
-                self.after(Micros::from_secs(3), move |w| {
+                self.timer(i, Micros::from_secs(3), move |w| {
                     let now = w.now;
                     if let Some(l) = w.lead(i, process)
                         && l.core.machines.get(&m).is_some_and(|x| x.direct_open && x.session.max(1) == session)
@@ -575,7 +577,7 @@
                 }
             });
         });
-        self.after(Micros::from_millis(2500), move |w| {
+        self.timer(i, Micros::from_millis(2500), move |w| {
             if b.replace(false) {
                 w.batch_over(i, process, late, Err(BatchError::Unknown));
             }
@@ -606,6 +608,8 @@
         let entitled = self.entitled(i);
         let seen = self.nodes[i].leader_seen;
         let answer = match &mut self.nodes[i].lead {
+            // No node takes a longer body.
+            _ if report_chars(&report) > MOST_CHARS => Err(None),
             Some(l) if entitled && report.token <= l.core.token => {
                 let (looks, plans) = (l.core.looks(), l.core.plans());
                 let a = l.core.report(&report, now);
@@ -647,7 +651,7 @@
         if let Some(l) = self.lead(i, process) {
             l.core.listed(&listed, now);
         }
-        self.after(Micros::from_secs(5), move |w| w.list(i, process));
+        self.timer(i, Micros::from_secs(5), move |w| w.list(i, process));
     }
 
     fn cloud_rent(&mut self, request: &str, kind: &str, zone: &str, spot: bool, count: u32) -> Vec<MachineId> {
@@ -679,7 +683,10 @@
     fn some_node(&mut self) -> usize {
         let n = self.nodes.len() as u64;
         let first = self.random(0, n - 1) as usize;
-        (0..n as usize).map(|k| (first + k) % n as usize).find(|&k| self.nodes[k].up).unwrap_or(first)
+        (0..n as usize)
+            .map(|k| (first + k) % n as usize)
+            .find(|&k| self.nodes[k].up && !self.stands_still(k))
+            .unwrap_or(first)
     }
 
     /// A user submits a job and repeats that until it is accepted.
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -114,6 +114,8 @@
     pub nodes: Vec<controller::Node>,
     pub cuts: Vec<Cut>,
     pub lags: Vec<Lag>,
+    /// Until when controllers stand still.
+    pub standstills: BTreeMap<usize, Micros>,
     /// What the state service takes; `None`: all that comes.
     pub limits: Option<limits::Limits>,
     /// Until when a node has no socket left for connections of its own to workers.
@@ -123,6 +125,8 @@
     pub jobs: BTreeMap<JobId, Truth>,
     pub broken: Vec<String>,
     pub leaders: u32,
+    /// Sessions that ended because nobody answered in time.
+    pub lapses: u32,
     /// From a grant until all registered machines were accounted for.
     pub longest_recovery: Micros,
     /// Most that a report without a plan, and a tick, looked at.
@@ -171,12 +175,14 @@
             nodes: (0..nodes).map(|_| controller::Node::default()).collect(),
             cuts: Vec::new(),
             lags: Vec::new(),
+            standstills: BTreeMap::new(),
             limits: None,
             no_sockets: BTreeMap::new(),
             no_room: BTreeMap::new(),
             jobs: BTreeMap::new(),
             broken: Vec::new(),
             leaders: 0,
+            lapses: 0,
             longest_recovery: Micros::ZERO,
             report_looks: 0,
             tick_looks: 0,
@@ -248,6 +254,7 @@
     /// Sends a message: it arrives after a while, late, or never.
     pub fn send(&mut self, from: Host, to: Host, step: impl FnOnce(&mut World) + 'static) {
         let latency = Micros(self.random(400, 6_000)) + self.lag(to);
+        let step = move |w: &mut World| w.on(to, step);
         match self.cut(from, to) {
             Some(c) if c.hold => self.at(c.until + latency, step),
             Some(_) => {}
@@ -255,6 +262,27 @@
         }
     }
 
+    /// Something happens at a host now; at a controller that stands still, when it goes on.
+    fn on(&mut self, host: Host, step: impl FnOnce(&mut World) + 'static) {
+        match host {
+            Host::Node(i) if self.stands_still(i) => {
+                let until = self.standstills[&i];
+                self.at(until, move |w| w.on(host, step));
+            }
+            _ => step(self),
+        }
+    }
+
+    /// A controller's process stands still while its clocks run on.
+    pub fn stands_still(&self, i: usize) -> bool {
+        self.standstills.get(&i).is_some_and(|until| self.now < *until)
+    }
+
+    /// A timer of a controller.
+    pub fn timer(&mut self, i: usize, span: Micros, step: impl FnOnce(&mut World) + 'static) {
+        self.after(span, move |w| w.on(Host::Node(i), step));
+    }
+
     pub(crate) fn lag(&self, to: Host) -> Micros {
         let now = self.now;
         let behind = self.lags.iter().filter(|l| Host::Node(l.node) == to && now < l.until);
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -258,6 +258,13 @@
                 w.lags.push(Lag { node, by, until });
             }
         }
+        "freeze" => {
+            let who = word(&mut it);
+            let until = w.now + secs(pairs(&mut it)["for"]);
+            for node in nodes(w, who) {
+                w.standstills.insert(node, until);
+            }
+        }
         "no_sockets" => {
             let who = word(&mut it);
             let until = w.now + secs(pairs(&mut it)["for"]);
@@ -436,6 +443,10 @@
         let ok = if what == "most" { n <= bound } else { n >= bound };
         return ok.then_some(()).ok_or(format!("{n} of {} jobs have started", w.jobs.len()));
     }
+    if id.as_str() == "lapses" {
+        let ok = what == "most" && w.lapses <= num(word(it)) as u32;
+        return ok.then_some(()).ok_or(format!("{} sessions lapsed", w.lapses));
+    }
     if id.as_str() == "recovery" {
         let ok = what == "most" && w.longest_recovery <= secs(word(it));
         return ok.then_some(()).ok_or(format!("a recovery took {:.1} s", w.longest_recovery.as_secs_f64()));
@@ -585,7 +596,7 @@
         let span = w.random(3, 40);
         let who = ["leader", "follower", "0", "1", "2"][w.random(0, 4) as usize];
         let held = ["held", "lost"][w.random(0, 1) as usize];
-        let line = match w.random(0, 12) {
+        let line = match w.random(0, 15) {
             0 => format!("crash {who} back 6"),
             1 => "crash all back 6".into(),
             2 => format!("cut {who} from state for {span} packets {held}"),
@@ -598,6 +609,9 @@
             10 => format!("lag {who} {}.{} for {span}", w.random(0, 3), w.random(1, 9)),
             11 => format!("no_room {} for {span}", ["any", "m-000001", "m-000002"][w.random(0, 2) as usize]),
             12 => format!("no_sockets {who} for {span}"),
+            13 => format!("freeze {who} for {span}"),
+            14 => format!("crash {who} back 0.2"),
+            15 => "crash all back 0.2".into(),
             _ => format!("notice of:req-{:06} 10", w.random(1, 20)),
         };
         later(w, t, line);
--- a/crates/hopyoke-world/src/worker.rs
+++ b/crates/hopyoke-world/src/worker.rs
@@ -100,6 +100,16 @@
     }
 }
 
+/// How long a report is in the form in which the protocol counts its limit.
+pub fn report_chars(report: &Report) -> usize {
+    let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+    let of = |t: &TaskReport| 62 + t.task.len() + digits(t.attempt.0);
+    220 + report.tasks.iter().map(of).sum::<usize>()
+}
+
+/// A body may have this many.
+pub const MOST_CHARS: usize = 64 * 1024;
+
 impl World {
     pub fn boot(&mut self, id: &MachineId) {
         let nodes = self.nodes.len() as u64;
@@ -137,6 +147,7 @@
         let limit = Micros((lease.0 as f64 * (1.0 + m.drift)) as u64);
         if now > m.lease_from + limit {
             m.session += 1;
+            self.lapses += 1;
             m.lease_from = now;
             m.in_flight = None;
             let gone: Vec<(TaskId, Attempt)> = std::mem::take(&mut m.tasks).into_keys().collect();
