A leader that no worker reaches knows it sooner, and not on waking from a standstill

Cause: three silent report intervals before giving up leave workers on a 14 s lease too little time; the clock ran on while the process stood still; after a takeover one dead machine held up the recovery for 3 s.

Change: Hearing in hopyoke-routing counts only time in which the process ran and was entitled, and is certain sooner of many machines; the last few mute machines are given up after 1.2 s.

--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -153,6 +153,10 @@
 /// A worker takes an answer no later than this after it sent its report.
 const ANSWER_LIMIT: Micros = Micros::from_millis(4_010);
 
+/// A machine that has not answered a question after a takeover for so long, while nearly all others have, is
+/// taken not to: waiting for the whole time limit would hold up the fleet.
+const MUTE_AFTER: Micros = Micros::from_millis(1_200);
+
 /// How often machines are looked at for what only time brings.
 const SWEEP: Micros = Micros::from_millis(100);
 
@@ -565,8 +569,9 @@
         // A new leader gives up the last few that did not answer it: work of the whole fleet waits for
         // them. Were they many, they might be cut off or hang, and be back.
         let open = watched.iter().filter(|m| self.recovering && self.unaccounted(m)).count();
-        let mute = watched.iter().filter(|m| self.recovering && self.unaccounted(m) && m.unreachable).count();
-        let last_few = open > 0 && open == mute && open * 50 <= watched.len();
+        let is_mute = |m: &Machine| m.unreachable || (m.probing && now >= m.probed_at + MUTE_AFTER);
+        let mute = watched.iter().filter(|m| self.recovering && self.unaccounted(m) && is_mute(m)).count();
+        let last_few = !deaf && open > 0 && open == mute && open * 50 <= watched.len();
         let overdue_after = Micros(self.cfg.report.0 * 5 / 4) + Micros::from_secs(1);
         let unlisted_after = self.cfg.report.times(2);
         let unlisted = |m: &Machine| self.listed.as_ref().is_some_and(|l| !l.contains(&m.id));
--- a/crates/hopyoke-routing/src/lib.rs
+++ b/crates/hopyoke-routing/src/lib.rs
@@ -8,9 +8,12 @@
 //!
 //! - [`Routes`]: where a report goes.
 //! - [`Carrier`]: which reports go to the leader together.
+//! - [`Hearing`]: whether any machine still reaches the leader.
 
 mod carrier;
+mod hearing;
 mod routes;
 
 pub use carrier::{Carrier, Load, Number};
+pub use hearing::Hearing;
 pub use routes::{Crowd, Peer, Route, Routes};
--- a/crates/hopyoke-routing/tests/routing.rs
+++ b/crates/hopyoke-routing/tests/routing.rs
@@ -1,6 +1,6 @@
 //! Where reports go, and how they are carried, for any order of events.
 
-use hopyoke_routing::{Carrier, Crowd, Route, Routes};
+use hopyoke_routing::{Carrier, Crowd, Hearing, Route, Routes};
 use hopyoke_types::Micros;
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -108,3 +108,43 @@
         }
     }
 }
+
+/// Looks every 200 ms from `from` to `until` (in tenths of a second); when it is found cut off.
+fn cut_off_at(h: &mut Hearing, machines: usize, from: u64, until: u64) -> Option<u64> {
+    (from..until).step_by(2).find(|t| h.is_cut_off(machines, true, Micros::from_millis(t * 100)))
+}
+
+#[test]
+fn many_silent_machines_are_certain_sooner_than_few() {
+    let hearing = |heard: bool| {
+        let mut h = Hearing::new(Micros::from_secs(2), Micros::ZERO);
+        if heard {
+            h.heard();
+        }
+        h
+    };
+    let at = |heard, machines| cut_off_at(&mut hearing(heard), machines, 0, 200).unwrap_or(999);
+    assert!((35..40).contains(&at(true, 100)), "{}", at(true, 100));
+    assert!((60..65).contains(&at(true, 3)), "{}", at(true, 3));
+    assert!((60..65).contains(&at(false, 100)), "before the first report {}", at(false, 100));
+    assert_eq!(at(true, 1), 999);
+}
+
+#[test]
+fn a_standstill_speaks_against_nobody() {
+    let mut h = Hearing::new(Micros::from_secs(2), Micros::ZERO);
+    h.heard();
+    assert_eq!(cut_off_at(&mut h, 100, 0, 20), None);
+    // It stood still for 18 s: what came meanwhile has not been read yet.
+    assert!(!h.is_cut_off(100, true, Micros::from_secs(20)));
+    h.heard();
+    assert_eq!(cut_off_at(&mut h, 100, 201, 230), None);
+}
+
+#[test]
+fn who_was_not_entitled_waits_for_workers_to_come_back() {
+    let mut h = Hearing::new(Micros::from_secs(2), Micros::ZERO);
+    h.heard();
+    assert!(!h.is_cut_off(100, false, Micros::from_secs(10)));
+    assert_eq!(cut_off_at(&mut h, 100, 101, 150), None);
+}
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -12,6 +12,7 @@
 use hopyoke_core::entitlement::Entitlement;
 use hopyoke_core::{Action, Batch, BatchError, Core, JobRecord, RegisterPage, Write};
 use hopyoke_policy::Figures;
+use hopyoke_routing::Hearing;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_types::Micros;
 use hopyoke_types::{Mark, Token};
@@ -184,7 +185,7 @@
     let leading = Rc::new(Leading {
         core: RefCell::new(core),
         right,
-        last_report: Cell::new(now),
+        hearing: RefCell::new(Hearing::new(node.config.report, now)),
         bell: Bell::default(),
         write_bell: Bell::default(),
         cancel: cancel.clone(),
@@ -210,7 +211,7 @@
             break false;
         }
         lost.wait_until(runtime::now() + Micros::from_millis(200)).await;
-        if starving(node, &leading) {
+        if starving(&leading) {
             break true;
         }
     };
@@ -227,11 +228,10 @@
 }
 
 /// Machines are up but none reports: this node is cut off from the workers, another may not be.
-fn starving(node: &Node, leading: &Leading) -> bool {
-    let quiet = (node.config.report.times(3)).max(Micros::from_secs(6));
+fn starving(leading: &Leading) -> bool {
     let core = leading.core.borrow();
     let expected = core.machines.values().filter(|m| m.registered && !m.deleting).count();
-    expected >= 2 && leading.entitled() && runtime::now() > leading.last_report.get() + quiet
+    leading.hearing.borrow_mut().is_cut_off(expected, leading.entitled(), runtime::now())
 }
 
 async fn keep_lease(node: Rc<Node>, lease: u64, right: Rc<RefCell<Entitlement>>, lost: Bell, cancel: Cancel) {
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -13,7 +13,7 @@
 use hopyoke_flow::{Engine, Limits};
 use hopyoke_limits::Bounds;
 use hopyoke_policy::Policy;
-use hopyoke_routing::Routes;
+use hopyoke_routing::{Hearing, Routes};
 use hopyoke_runtime::http::OpenCount;
 use hopyoke_runtime::{self as runtime, Bell, Cancel};
 use hopyoke_settings::Settings;
@@ -70,8 +70,8 @@
     pub core: RefCell<Core>,
     /// How long we may command workers.
     pub right: Rc<RefCell<Entitlement>>,
-    /// When a worker last reported to us.
-    pub last_report: Cell<Micros>,
+    /// Whether workers reach us.
+    pub hearing: RefCell<Hearing>,
     /// Rung when the core has changed.
     pub bell: Bell,
     /// Rung when something is to be written.
--- a/crates/hopyoke/src/workers.rs
+++ b/crates/hopyoke/src/workers.rs
@@ -72,7 +72,7 @@
         }
     };
     let now = runtime::now();
-    leading.last_report.set(now);
+    leading.hearing.borrow_mut().heard();
     let mut core = leading.core.borrow_mut();
     if report.token > core.token {
         // Somebody has been granted more than we know of.
