What is lent for a moment makes no long line at the door

While a node has lent nearly all of its part its rate is nearly nothing for 2.5 s; each user refused then was given 10 s of the line and told to come back in half a minute, though there was room all the time.

Change: places in the line are given out at the rate that lasts.

--- a/crates/hopyoke/src/door.rs
+++ b/crates/hopyoke/src/door.rs
@@ -45,7 +45,9 @@
             self.share.borrow_mut().heard(need, now);
         }
         let mut gate = self.gate.borrow_mut();
-        gate.set_rate(self.share.borrow().rate(now), now);
+        let share = self.share.borrow();
+        gate.set_rate(share.rate(now), share.lasting(), now);
+        drop(share);
         gate
     }
 
