Jobs with a mistake get a trial of one task, and rent nothing

Cause: an array with a mistake started whole again after each backoff, on up to 27 machines at a time, rented for itself, and its first failures marked machines as faulty.

--- a/crates/hopyoke-core/src/plan/each.rs
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -32,6 +32,12 @@
                 Verdict::Reconnect | Verdict::AcceptResult => {}
             }
         }
+        if needs.suspect {
+            // It failed on several machines: one task at a time shows whether it still does, on room that
+            // is there. Nothing is rented or stopped for it. (Guards against arrays with a mistake that
+            // fill the fleet again after each backoff; scenario mistaken_array.)
+            ahead = startable.drain(..).take(usize::from(job.places.is_empty())).collect();
+        }
         let mut left = startable.len() as u32;
         // A zone rule must not be broken by tasks that nobody has reported yet.
         if unknown && (needs.spec.spread || needs.spec.one_zone) {
@@ -107,6 +113,7 @@
             }
         }
         match (unknown, soon) {
+            _ if needs.suspect => "a trial of one task",
             (true, _) => "recovery",
             (_, true) => "running tasks that end soon",
             _ => "",
--- a/crates/hopyoke-core/src/plan/gang.rs
+++ b/crates/hopyoke-core/src/plan/gang.rs
@@ -32,9 +32,17 @@
         if !plan.charge(&needs, count, &self.cfg.teams) {
             return "its team's limit";
         }
-        let Some(bins) = self.choose_all(&needs, plan, count) else {
+        // For a gang that failed on several machines nothing is rented and no room is kept.
+        let offers = needs.suspect.then(|| std::mem::take(&mut plan.offers));
+        let chosen = self.choose_all(&needs, plan, count);
+        if let Some(offers) = offers {
+            plan.offers = offers;
+        }
+        let Some(bins) = chosen else {
             plan.refund(&needs, count);
-            self.reserve(&needs, plan, count, now);
+            if !needs.suspect {
+                self.reserve(&needs, plan, count, now);
+            }
             return "machines";
         };
         if !bins.iter().all(|&b| plan.bins[b].ready) {
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -308,6 +308,14 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.failed_on.insert(id.clone());
         let bad_job = job.suspect(self.tuning.suspect_after);
+        if bad_job {
+            // Its failures so far speak against it, not against the machines.
+            for m in &job.failed_on {
+                if let Some(m) = self.machines.get_mut(m) {
+                    m.failed_jobs.remove(&task.job);
+                }
+            }
+        }
         if bad_job && now >= job.hold_until {
             // Jobs that fail everywhere are started anew ever more rarely.
             let wait = self.tuning.job_backoff.times(1 << job.backoffs.min(4));
