Gangs of a tenant take turns as arrays do

Cause: under contention gangs of sixteen hold what gangs of one and two could use. Change: the order inside a tenant, with its bound, for gangs too.

--- a/crates/hopyoke-core/src/plan/turns.rs
+++ b/crates/hopyoke-core/src/plan/turns.rs
@@ -18,7 +18,7 @@
         let mut tenants: BTreeMap<(u8, Priority, &str, &str), usize> = BTreeMap::new();
         let (mut places, mut waiting) = (Vec::new(), Vec::new());
         for (place, ((class, priority, accepted_us), id)) in keyed.iter().enumerate() {
-            let Some(job) = self.jobs.get(id).filter(|j| j.spec.kind == JobKind::Array) else { continue };
+            let Some(job) = self.jobs.get(id).filter(|j| j.spec.kind != JobKind::Service) else { continue };
             let spec = &job.spec;
             let next = tenants.len();
             let tenant = *tenants.entry((*class, *priority, &spec.team, &spec.class)).or_insert(next);
