--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -114,6 +114,8 @@
     pub nodes: Vec<controller::Node>,
     pub cuts: Vec<Cut>,
     pub lags: Vec<Lag>,
+    /// Jobs are accepted as while nodes are pressed: their first starts are not recorded.
+    pub spare_starts: bool,
     /// Until when controllers stand still.
     pub standstills: BTreeMap<usize, Micros>,
     /// What the state service takes; `None`: all that comes.
@@ -175,6 +177,7 @@
             nodes: (0..nodes).map(|_| controller::Node::default()).collect(),
             cuts: Vec::new(),
             lags: Vec::new(),
+            spare_starts: false,
             standstills: BTreeMap::new(),
             limits: None,
             no_sockets: BTreeMap::new(),
