--- a/crates/hopyoke-core/src/job.rs
+++ b/crates/hopyoke-core/src/job.rs
@@ -52,12 +52,6 @@
         JobRecord { flow: true, ..JobRecord::accepted(spec, accepted_us) }
     }
 
-    /// Its first start costs no change of its own: changes are short. After a takeover it counts as begun, and waits
-    /// until every machine is accounted for. Gangs need their attempt recorded all the same.
-    pub fn sparing_its_start(self) -> JobRecord {
-        JobRecord { marks_start: self.spec.kind == JobKind::Gang, ..self }
-    }
-
     /// Some holder may have told a worker to start one of its tasks.
     pub fn may_have_started(&self) -> bool {
         self.term.0 != 0 || !self.marks_start
@@ -209,15 +203,7 @@
     /// The record says that this attempt may be started. (A new leader takes a job without a
     /// recorded start for one that nobody has started. Guards `ran_twice`.)
     pub fn may_start(&self, attempt: Attempt) -> bool {
-        if self.is_gang() {
-            return self.recorded_term >= attempt;
-        }
-        self.recorded_term.0 != 0 || !self.marks_start
-    }
-
-    /// Its first start is to be recorded before it is commanded.
-    pub fn marks_first_start(&self) -> bool {
-        self.term.0 == 0 && (self.marks_start || self.is_gang())
+        if self.is_gang() { self.recorded_term >= attempt } else { self.recorded_term.0 != 0 }
     }
 
     /// Failed on several machines: the fault is its own most likely.
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -207,7 +207,7 @@
     /// Puts an attempt on a machine; its start order goes out with the next orders.
     fn start(&mut self, s: Start, now: Micros) {
         let Some(job) = self.jobs.get_mut(&s.job) else { return };
-        if job.marks_first_start() {
+        if job.term.0 == 0 {
             // Its first start is recorded before it is commanded.
             job.term = s.attempt;
             let waited_ms = (now - job.seen_at).as_millis();
--- a/crates/hopyoke-limits/src/gate.rs
+++ b/crates/hopyoke-limits/src/gate.rs
@@ -50,7 +50,8 @@
     ///
     /// While a node has lent nearly all of its part its rate is nearly nothing, for some seconds. Places in
     /// the line are not given out at such a rate. (Guards against a few users who are told to come back
-    /// half a minute later, each seen as 10 s of the line, while there is room all the time.)
+    /// half a minute later, each seen as 10 s of the line, while there is room all the time. A third of what
+    /// lasts, and not all of it: who comes back too soon loses its place.)
     pub fn set_rate(&mut self, rate: f64, lasting: f64, now: Micros) {
         self.lasting = lasting;
         if (rate - self.bucket.rate()).abs() > 0.01 {
@@ -75,7 +76,8 @@
     /// One has to be refused for another reason: it takes a place in the line as well.
     pub fn refuse(&mut self, now: Micros) -> RetryAfter {
         self.refused += 1;
-        let step = Micros::from_secs_f64(1.0 / self.bucket.rate().max(self.lasting).max(0.1));
+        let rate = self.bucket.rate().max(self.lasting / 3.0);
+        let step = Micros::from_secs_f64(1.0 / rate.max(0.1));
         self.line_until = (self.line_until.max(now) + step).min(now + LINE);
         let wait = (self.line_until - now).as_secs_f64();
         RetryAfter(wait.ceil().clamp(1.0, MOST) as u32)
--- a/crates/hopyoke/src/api.rs
+++ b/crates/hopyoke/src/api.rs
@@ -226,11 +226,7 @@
         let known = node.leading().is_some_and(|l| l.core.borrow().jobs.contains_key(&id));
         return if known { poll(node, &id).await } else { Ok(no_room(after)) };
     }
-    let mut record = JobRecord::accepted(spec, runtime::time_of_day().0);
-    // While others wait for room, each change counts.
-    if node.door.is_pressed() {
-        record = record.sparing_its_start();
-    }
+    let record = JobRecord::accepted(spec, runtime::time_of_day().0);
     let end = match records::accept(node, record, Vec::new()).await {
         Err(e) if e.is_refusal() && node.state.answers() => return Ok(no_room(node.door.refuse(node))),
         end => end?,
