--- a/crates/hopyoke-core/src/plan/turns.rs
+++ b/crates/hopyoke-core/src/plan/turns.rs
@@ -10,7 +10,7 @@
 type Keyed = ((u8, Priority, u64), JobId);
 
 impl Core {
-    /// Arrays of one tenant change places among themselves, within one importance: most of them are to
+    /// Arrays and gangs of one tenant change places among themselves, within one importance: most are to
     /// be served when the tenant offers more than it can get. (Guards against a day on which less
     /// than half of a class ends although its team's limit was used all day; scenario
     /// burst_mostly_served.)
