Plans: one way to start a task in a bin, one form of the order, one count of what is reportable

Need: the three pushes of a start in each.rs, the type of the order in two modules and the bound on reported attempts had been written more than once. Behaviour is the same.

--- a/crates/hopyoke-core/src/plan/each.rs
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -64,10 +64,7 @@
                         && let Some((bin, image)) = self.borrow_room(&needs, plan)
                     {
                         left -= 1;
-                        if let Some(machine) = plan.bins[bin].machine.clone() {
-                            let attempt = self.new_attempt(now);
-                            plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
-                        }
+                        self.start_on(bin, id, index, image, plan, now);
                         continue;
                     }
                     match found {
@@ -95,11 +92,8 @@
             left -= 1;
             let image = plan.has_image(&plan.bins[bin], needs.image);
             plan.take(bin, &mut needs);
-            if plan.bins[bin].ready
-                && let Some(machine) = plan.bins[bin].machine.clone()
-            {
-                let attempt = self.new_attempt(now);
-                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
+            if plan.bins[bin].ready {
+                self.start_on(bin, id, index, image, plan, now);
             }
         }
         for index in ahead {
@@ -107,10 +101,7 @@
             let Some(bin) = bin.filter(|_| plan.charge(&needs, 1, &self.cfg.teams)) else { break };
             let image = plan.has_image(&plan.bins[bin], needs.image);
             plan.take(bin, &mut needs);
-            if let Some(machine) = plan.bins[bin].machine.clone() {
-                let attempt = self.new_attempt(now);
-                plan.starts.push(Start { job: id.clone(), index, machine, attempt, image });
-            }
+            self.start_on(bin, id, index, image, plan, now);
         }
         match (unknown, soon) {
             _ if needs.suspect => "a trial of one task",
@@ -119,4 +110,11 @@
             _ => "",
         }
     }
+    /// Has the plan start a task in a bin for which room was taken.
+    fn start_on(&mut self, bin: usize, job: &JobId, index: u32, image: bool, plan: &mut Plan, now: Micros) {
+        if let Some(machine) = plan.bins[bin].machine.clone() {
+            let attempt = self.new_attempt(now);
+            plan.starts.push(Start { job: job.clone(), index, machine, attempt, image });
+        }
+    }
 }
--- a/crates/hopyoke-core/src/plan/estimates.rs
+++ b/crates/hopyoke-core/src/plan/estimates.rs
@@ -1,18 +1,15 @@
 //! What learned run times are used for in a plan. Each use is a setting of its own; none decides
 //! a rule: what may be stopped, charged or placed is settled elsewhere.
 
-use super::TaskKey;
 use super::needs::Needs;
 use super::view::{Plan, Soon};
+use super::{Keyed, TaskKey};
 use crate::Core;
 use crate::amounts::Amounts;
 use crate::fleet::{Phase, Slot};
-use hopyoke_types::{JobId, Micros};
+use hopyoke_types::Micros;
 use hopyoke_wire::user::{JobKind, Priority};
 
-/// A job in the order of placement: class of importance, priority, acceptance.
-type Keyed = ((u8, Priority, u64), JobId);
-
 impl Core {
     /// Jobs with a deadline change places among themselves, within one importance, by when they
     /// must start at the latest. The places that they hold together stay the same.
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -32,6 +32,9 @@
 /// Why held work waits.
 pub const HELD: &str = "staffed hours";
 
+/// A job in the order of placement: class of importance, priority, acceptance.
+type Keyed = ((u8, Priority, u64), JobId);
+
 /// One attempt of one task.
 type TaskKey = (TaskId, Attempt);
 
--- a/crates/hopyoke-core/src/plan/turns.rs
+++ b/crates/hopyoke-core/src/plan/turns.rs
@@ -1,14 +1,12 @@
 //! Whose turn it is inside a tenant (a team with a class): see [`hopyoke_admission`].
 
+use super::Keyed;
 use crate::Core;
 use hopyoke_admission::Waiting;
-use hopyoke_types::{JobId, Micros};
+use hopyoke_types::Micros;
 use hopyoke_wire::user::{JobKind, Priority};
 use std::collections::BTreeMap;
 
-/// A job in the order of placement: class of importance, priority, acceptance.
-type Keyed = ((u8, Priority, u64), JobId);
-
 impl Core {
     /// Arrays and gangs of one tenant change places among themselves, within one importance: most are to
     /// be served when the tenant offers more than it can get. (Guards against a day on which less
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -255,6 +255,7 @@
             }
             let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
             let Some(load) = m.kept_load() else { continue };
+            let reportable = MOST_REPORTED.saturating_sub(m.slots().len());
             let first = plan.images.len() as u32;
             plan.images.extend_from_slice(&load.images);
             plan.bins.push(Bin {
@@ -263,13 +264,9 @@
                 kind,
                 zone: cfg.zone_index(&m.zone),
                 spot: m.spot,
-                free: if m.slots().len() < MOST_REPORTED {
-                    plan.kinds[kind] - load.used
-                } else {
-                    Amounts::default()
-                },
+                free: if reportable > 0 { plan.kinds[kind] - load.used } else { Amounts::default() },
                 empty: load.live == 0,
-                reportable: MOST_REPORTED.saturating_sub(m.slots().len()),
+                reportable,
                 replicas: load.replicas,
                 freeing: load.freeing,
                 preemptible: load.preemptible,
