--- a/crates/hopyoke-limits/src/gate.rs
+++ b/crates/hopyoke-limits/src/gate.rs
@@ -19,8 +19,6 @@
 #[derive(Debug, Clone)]
 pub struct Gate {
     bucket: Bucket,
-    /// What the line moves at in the long run, whatever is lent at the moment.
-    lasting: f64,
     /// Places up to this time are given away.
     line_until: Micros,
     let_in: u64,
@@ -36,7 +34,6 @@
     pub fn new(rate: f64, now: Micros) -> Gate {
         Gate {
             bucket: Bucket::full(rate, now),
-            lasting: rate,
             line_until: now,
             let_in: 0,
             refused: 0,
@@ -46,14 +43,8 @@
         }
     }
 
-    /// Another rate from now on, and what it will be once loans are over.
-    ///
-    /// While a node has lent nearly all of its part its rate is nearly nothing, for some seconds. Places in
-    /// the line are not given out at such a rate. (Guards against a few users who are told to come back
-    /// half a minute later, each seen as 10 s of the line, while there is room all the time. A third of what
-    /// lasts, and not all of it: who comes back too soon loses its place.)
-    pub fn set_rate(&mut self, rate: f64, lasting: f64, now: Micros) {
-        self.lasting = lasting;
+    /// Another rate from now on.
+    pub fn set_rate(&mut self, rate: f64, now: Micros) {
         if (rate - self.bucket.rate()).abs() > 0.01 {
             self.bucket.set_rate(rate, now);
         }
@@ -76,8 +67,7 @@
     /// One has to be refused for another reason: it takes a place in the line as well.
     pub fn refuse(&mut self, now: Micros) -> RetryAfter {
         self.refused += 1;
-        let rate = self.bucket.rate().max(self.lasting / 3.0);
-        let step = Micros::from_secs_f64(1.0 / rate.max(0.1));
+        let step = Micros::from_secs_f64(1.0 / self.bucket.rate().max(0.1));
         self.line_until = (self.line_until.max(now) + step).min(now + LINE);
         let wait = (self.line_until - now).as_secs_f64();
         RetryAfter(wait.ceil().clamp(1.0, MOST) as u32)
--- a/crates/hopyoke-limits/src/share.rs
+++ b/crates/hopyoke-limits/src/share.rs
@@ -74,11 +74,6 @@
         (self.bounds.per_second * GIVEN_OUT - need) / f64::from(self.bounds.nodes.max(1))
     }
 
-    /// What this node may spend at least whenever it has lent nothing, whatever it hears.
-    pub fn lasting(&self) -> f64 {
-        self.bounds.per_second * (GIVEN_OUT - RECORDS) / f64::from(self.bounds.nodes.max(1))
-    }
-
     /// Changes a second that may be spent on new work.
     pub fn rate(&self, now: Micros) -> f64 {
         let borrowed: f64 = self.borrowed.iter().map(|(_, l)| l.at(now)).sum();
--- a/crates/hopyoke-world/src/limits.rs
+++ b/crates/hopyoke-world/src/limits.rs
@@ -84,7 +84,7 @@
             let need = p.need.rate(now);
             p.share.heard(need, now);
         }
-        p.gate.set_rate(p.share.rate(now), p.share.lasting(), now);
+        p.gate.set_rate(p.share.rate(now), now);
         let room = p
             .gate
             .enter(now)
--- a/crates/hopyoke/src/door.rs
+++ b/crates/hopyoke/src/door.rs
@@ -45,9 +45,7 @@
             self.share.borrow_mut().heard(need, now);
         }
         let mut gate = self.gate.borrow_mut();
-        let share = self.share.borrow();
-        gate.set_rate(share.rate(now), share.lasting(), now);
-        drop(share);
+        gate.set_rate(self.share.borrow().rate(now), now);
         gate
     }
 
