Machines on order count by how boots go, not by their nominal time

Change: hopyoke-boots learns how long boots take from machines that came up and, as censored observations, from those that have not. A late one is no longer counted on if one ordered now is likely to be there first; when all are slow nothing is ordered twice; one that most likely never comes is returned.

--- a/crates/hopyoke-core/src/fleet.rs
+++ b/crates/hopyoke-core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Machines and what is known to be, or may be, on them.
 
 use super::amounts::Amounts;
+use hopyoke_boots::Verdict;
 use hopyoke_types::Micros;
 use hopyoke_types::{Attempt, JobId, MachineId, TaskId, Token};
 use hopyoke_wire::user::JobSpec;
@@ -135,6 +136,10 @@
     /// Most recently used last.
     images: Vec<(ImageKey, f64)>,
     pub rented_at: Micros,
+    /// When it was rented is known: from the cloud's answer, or its list.
+    pub dated: bool,
+    /// What to think of it while it boots.
+    pub boot: Verdict,
     pub idle_since: Option<Micros>,
     /// Jobs whose tasks failed here since one last succeeded here.
     pub failed_jobs: BTreeSet<JobId>,
@@ -182,6 +187,8 @@
             load: None,
             images: Vec::new(),
             rented_at: now,
+            dated: false,
+            boot: Verdict::Awaited,
             idle_since: None,
             failed_jobs: BTreeSet::new(),
             failures: 0,
--- a/crates/hopyoke-core/src/lib.rs
+++ b/crates/hopyoke-core/src/lib.rs
@@ -37,6 +37,7 @@
 pub use reports::Answer;
 pub use tuning::Tuning;
 
+use hopyoke_boots::Boots;
 use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, MachineId, Mark, Token};
@@ -184,6 +185,7 @@
     recovering: bool,
     counter: u64,
     rents: rent::Rents,
+    boots: Boots,
     writes: records::Writes,
     learned: learn::Learned,
     staffing: hours::Staffing,
@@ -249,6 +251,7 @@
             learned: learn::Learned::default(),
             staffing: hours::Staffing::default(),
             rents: rent::Rents::default(),
+            boots: Boots::default(),
             actions: VecDeque::new(),
             changed: true,
             next_plan: Micros::ZERO,
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -53,6 +53,7 @@
     pub(super) fn plan(&mut self, now: Micros) -> Demand {
         self.plans += 1;
         self.looked_at(self.jobs.len() + 2 * self.machines.len());
+        self.judge_boots(now);
         let order = self.order(now);
         let mut plan = self.new_plan(&order, now);
         // A task on a machine whose job we don't know may belong to any team: until it is gone
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -6,6 +6,7 @@
 use crate::amounts::{Amounts, Team};
 use crate::fleet::{ImageKey, Phase};
 use crate::rent::Offer;
+use hopyoke_boots::Verdict;
 use hopyoke_spread::Niches;
 use hopyoke_types::{MachineId, Micros};
 use hopyoke_wire::user::JobKind;
@@ -248,6 +249,7 @@
                 || m.deleting
                 || m.faulty
                 || m.slow
+                || (m.phase == Phase::Booting && m.boot != Verdict::Awaited)
                 || m.notice.is_some()
                 || now < m.cool_until
             {
--- a/crates/hopyoke-core/src/rent.rs
+++ b/crates/hopyoke-core/src/rent.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::{Machine, Phase};
 use super::{Action, Core};
+use hopyoke_boots::Verdict;
 use hopyoke_types::MachineId;
 use hopyoke_types::Micros;
 use hopyoke_wire::cloud::{Listed, ListedState};
@@ -135,6 +136,7 @@
                         .entry(id.clone())
                         .or_insert_with(|| Machine::new(id, o.machine_type.clone(), o.zone.clone(), o.spot, now));
                     m.ours = true;
+                    m.dated = true;
                 }
             }
             RentOutcome::NoCapacity => {
@@ -193,6 +195,7 @@
             });
             if !known {
                 m.rented_at = now - age;
+                m.dated = true;
                 self.changed = true;
                 info!(machine = %l.id, zone = %l.zone, spot = l.spot, "found an unknown machine");
             }
@@ -215,6 +218,34 @@
         self.jobs.values().any(|j| j.spec.priority == Priority::Production && now < j.seen_at + lately)
     }
 
+    /// Judges the machines that boot. One that is late is no longer counted on, so that what waits for it has
+    /// another rented; nothing that keeps a rule looks at this.
+    pub(super) fn judge_boots(&mut self, now: Micros) {
+        if self.is_deaf(now) {
+            return;
+        }
+        let cut: Vec<String> = self.cfg.zones.iter().filter(|z| self.zone_cut(z)).cloned().collect();
+        let Core { machines, types, boots, .. } = self;
+        let mut booting: BTreeMap<&str, (f64, Vec<f64>, Vec<&mut Machine>)> = BTreeMap::new();
+        for m in machines.values_mut().filter(|m| m.phase == Phase::Booting && m.dated && !m.deleting) {
+            let Some(t) = types.iter().find(|t| t.name == m.machine_type && t.boot_s > 0.0) else { continue };
+            let (nominal, ages, of_type) = booting.entry(&t.name).or_default();
+            *nominal = t.boot_s;
+            ages.push((now - m.rented_at).as_secs_f64() / t.boot_s);
+            of_type.push(m);
+        }
+        for (kind, (nominal, ages, of_type)) in booting {
+            for (m, verdict) in of_type.into_iter().zip(boots.judge(kind, &ages, now.as_secs_f64() / nominal)) {
+                if m.boot == Verdict::Awaited && verdict != Verdict::Awaited {
+                    info!(machine = %m.id, zone = %m.zone, spot = m.spot, "machine late: no longer counted on");
+                }
+                // In a zone that is cut off it may be up without our hearing of it.
+                let unheard = verdict == Verdict::Hopeless && cut.contains(&m.zone);
+                m.boot = if unheard { Verdict::Late } else { verdict };
+            }
+        }
+    }
+
     /// Returns machines that nobody needs, that are faulty, or that never came up.
     pub(super) fn return_idle(&mut self, now: Micros) {
         let idle_for = self.tuning.idle_return;
@@ -236,8 +267,8 @@
                 m.idle_since = Some(now);
             }
             let boot = boots.get(m.machine_type.as_str()).copied().unwrap_or(Micros::from_secs(60));
-            let never_up =
-                m.phase == Phase::Booting && now >= m.rented_at + patience(boot) + Micros::from_secs(30);
+            let never_up = m.phase == Phase::Booting
+                && (m.boot == Verdict::Hopeless || now >= m.rented_at + patience(boot) + Micros::from_secs(30));
             let idle = m.idle_since.is_some_and(|t| now >= t + idle_for) && !self.recovering;
             let faulty = m.faulty && !m.has_live();
             let mut unneeded = (idle || (m.slow && m.slots().is_empty())) && !m.has_live();
@@ -249,6 +280,10 @@
             }
             if !m.deleting && (never_up || unneeded || faulty) {
                 m.deleting = true;
+                if never_up && m.dated && boot > Micros::ZERO {
+                    let in_boots = |t: Micros| t.as_secs_f64() / boot.as_secs_f64();
+                    self.boots.given_up(&m.machine_type, in_boots(now - m.rented_at), in_boots(now));
+                }
                 info!(machine = %m.id, zone = %m.zone, spot = m.spot, never_up, faulty, "returning machine");
             }
             if m.deleting
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -111,6 +111,7 @@
         }
         let new_session = report.session > m.session;
         let back = m.phase != Phase::Up;
+        let booted = (m.phase == Phase::Booting && m.dated).then_some(now - m.rented_at);
         let was_settled = m.settled(self.token);
         m.session = report.session;
         m.seq = report.seq;
@@ -142,6 +143,11 @@
         if back {
             info!(machine = %id, zone = %zone, spot, session = report.session, "machine up");
         }
+        let nominal = self.boot_time(&report.machine_type);
+        if let Some(took) = booted.filter(|_| nominal > Micros::ZERO) {
+            let in_boots = |t: Micros| t.as_secs_f64() / nominal.as_secs_f64();
+            self.boots.came_up(&report.machine_type, in_boots(took), in_boots(now));
+        }
         if new_session {
             // Everything of earlier sessions is gone, and so are their late direct orders.
             self.clear_slots(id);
--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -8,7 +8,6 @@
 use hopyoke_limits::Importance;
 use hopyoke_types::Micros;
 use hopyoke_types::{JobId, MachineId, Mark, Token};
-use hopyoke_wire::cloud::{Listed, ListedState};
 use hopyoke_wire::user::JobState;
 use hopyoke_wire::worker::Report;
 use std::rc::Rc;
@@ -633,21 +632,7 @@
             return;
         }
         let now = self.now;
-        let lag = self.cfg.list_lag;
-        let listed: Vec<Listed> = self
-            .machines
-            .values()
-            .filter(|m| now >= m.rented_at + lag)
-            .map(|m| Listed {
-                id: m.id.clone(),
-                address: None,
-                machine_type: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                state: if m.up { ListedState::Running } else { ListedState::Booting },
-                age_s: (now - m.rented_at).as_secs_f64(),
-            })
-            .collect();
+        let listed = self.cloud_list();
         if let Some(l) = self.lead(i, process) {
             l.core.listed(&listed, now);
         }
@@ -672,7 +657,8 @@
                 let fails = self.never_boot > 0;
                 self.never_boot = self.never_boot.saturating_sub(1);
                 let spread = Micros(self.random(boot.0 * 6 / 10, boot.0 * 15 / 10));
-                self.add_machine(kind, zone, spot, (!fails).then_some(spread))
+                let takes = self.boot_takes(spread);
+                self.add_machine(kind, zone, spot, (!fails).then_some(takes))
             })
             .collect();
         self.charters.insert(request.to_owned(), ids.clone());
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -1,6 +1,7 @@
 //! A small world in virtual time: workers, cloud, state service and users that follow the
 //! protocol, around controllers that run the real core. Every rule is checked at every step.
 
+mod cloud;
 pub mod controller;
 pub mod limits;
 pub mod rules;
@@ -110,6 +111,7 @@
     pub next_machine: u32,
     pub charters: BTreeMap<String, Vec<MachineId>>,
     pub never_boot: u32,
+    pub cloud: cloud::Cloud,
     pub store: store::Store,
     pub nodes: Vec<controller::Node>,
     pub cuts: Vec<Cut>,
@@ -171,6 +173,7 @@
             next_machine: 0,
             charters: BTreeMap::new(),
             never_boot: 0,
+            cloud: cloud::Cloud::default(),
             store: store::Store::default(),
             nodes: (0..nodes).map(|_| controller::Node::default()).collect(),
             cuts: Vec::new(),
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -265,6 +265,12 @@
                 w.standstills.insert(node, until);
             }
         }
+        "boots" => {
+            let factor = num(word(&mut it));
+            w.cloud.slow = Some((factor, w.now + secs(pairs(&mut it)["for"])));
+        }
+        "duds" => w.never_boot = num(word(&mut it)) as u32,
+        "old_lists" => w.cloud.old_lists = w.now + secs(pairs(&mut it)["for"]),
         "no_sockets" => {
             let who = word(&mut it);
             let until = w.now + secs(pairs(&mut it)["for"]);
@@ -596,7 +602,7 @@
         let span = w.random(3, 40);
         let who = ["leader", "follower", "0", "1", "2"][w.random(0, 4) as usize];
         let held = ["held", "lost"][w.random(0, 1) as usize];
-        let line = match w.random(0, 15) {
+        let line = match w.random(0, 18) {
             0 => format!("crash {who} back 6"),
             1 => "crash all back 6".into(),
             2 => format!("cut {who} from state for {span} packets {held}"),
@@ -612,6 +618,9 @@
             13 => format!("freeze {who} for {span}"),
             14 => format!("crash {who} back 0.2"),
             15 => "crash all back 0.2".into(),
+            16 => format!("boots {} for {span}", ["0.02", "3"][w.random(0, 1) as usize]),
+            17 => format!("duds {}", w.random(1, 3)),
+            18 => format!("old_lists for {span}"),
             _ => format!("notice of:req-{:06} 10", w.random(1, 20)),
         };
         later(w, t, line);
