The door: parts by team, and a place in the line that is kept at all nodes

A team that offers far more than its part made the line for all.

Change (hopyoke-limits): the gate keeps the place of whom it tells to come back, and the nodes tell each other of their places in their greetings; each expects its part of those due. Each team has an equal part of what is let in (a guest a quarter), what one does not use others may; one that has used up its own leaves a reserve. Gate, share and need are one Door for daemon and emulator.

--- a/crates/hopyoke-lab/src/replay.rs
+++ b/crates/hopyoke-lab/src/replay.rs
@@ -207,6 +207,7 @@
         run: Micros::from_secs_f64(run.ran_s),
         fails: false,
         flow: false,
+        first_try: None,
         accepted: None,
         cancelled: None,
         done: vec![false; run.tasks as usize],
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -77,6 +77,8 @@
     pub fails: bool,
     /// It is a step of a workflow's run.
     pub flow: bool,
+    /// When its user first tried to submit it.
+    pub first_try: Option<Micros>,
     pub accepted: Option<Micros>,
     pub cancelled: Option<Micros>,
     pub done: Vec<bool>,
@@ -120,6 +122,8 @@
     pub standstills: BTreeMap<usize, Micros>,
     /// What the state service takes; `None`: all that comes.
     pub limits: Option<limits::Limits>,
+    /// Users give up so long after their first try; `None`: never.
+    pub patience: Option<Micros>,
     /// Until when a node has no socket left for connections of its own to workers.
     pub no_sockets: BTreeMap<usize, Micros>,
     /// Until when a worker's connections find no room at any node.
@@ -180,6 +184,7 @@
             lags: Vec::new(),
             standstills: BTreeMap::new(),
             limits: None,
+            patience: None,
             no_sockets: BTreeMap::new(),
             no_room: BTreeMap::new(),
             jobs: BTreeMap::new(),
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -155,6 +155,7 @@
                 w.start_node(i);
             }
         }
+        "patience" => w.patience = Some(secs(word(&mut it))),
         "idle_return" => w.tuning.idle_return = secs(word(&mut it)),
         "report" => w.cfg.report = secs(word(&mut it)),
         "lease" => w.cfg.lease = secs(word(&mut it)),
@@ -385,6 +386,7 @@
         run: Micros::from_secs_f64(run),
         fails: yes("fails"),
         flow: yes("flow"),
+        first_try: None,
         accepted: None,
         cancelled: None,
         done: vec![false; tasks as usize],
--- a/crates/hopyoke/src/api.rs
+++ b/crates/hopyoke/src/api.rs
@@ -219,16 +219,19 @@
     if let Some(end) = node.finals.get(&id).filter(|e| !e.flow) {
         return Ok(finished(&id, end));
     }
-    if let Err(after) = node.door.enter(node) {
+    if let Err(after) = node.door.enter(node, &spec) {
         debug!(job = %id, after_s = after.0, "refused at the door");
         // A repeated submission of what is accepted gets its answer all the same, where that costs
         // nothing of its own.
         let known = node.leading().is_some_and(|l| l.core.borrow().jobs.contains_key(&id));
         return if known { poll(node, &id).await } else { Ok(no_room(after)) };
     }
+    let team = spec.team.clone();
     let record = JobRecord::accepted(spec, runtime::time_of_day().0);
     let end = match records::accept(node, record, Vec::new()).await {
-        Err(e) if e.is_refusal() && node.state.answers() => return Ok(no_room(node.door.refuse(node))),
+        Err(e) if e.is_refusal() && node.state.answers() => {
+            return Ok(no_room(node.door.refuse(node, &id, &team)));
+        }
         end => end?,
     };
     match end {
--- a/crates/hopyoke/src/door.rs
+++ b/crates/hopyoke/src/door.rs
@@ -1,101 +1,114 @@
-//! Who of those that bring new work is let in: what this node may spend on it of the changes that the
-//! state service takes (see [`hopyoke_limits`]).
+//! Who of those that bring new work is let in: [`hopyoke_limits::Door`] with this node's clock.
 
+use crate::links::proto::Place;
 use crate::node::Node;
-use hopyoke_limits::{Bounds, Gate, Need, RetryAfter, Share};
+use hopyoke_limits::{Bounds, Door as Decisions, RetryAfter, Word};
 use hopyoke_runtime as runtime;
-use hopyoke_types::Micros;
+use hopyoke_types::{JobId, Micros};
+use hopyoke_wire::user::JobSpec;
 use std::cell::RefCell;
 
 pub struct Door {
-    gate: RefCell<Gate>,
-    share: RefCell<Share>,
-    need: RefCell<Need>,
+    decisions: RefCell<Decisions>,
+    teams: Vec<String>,
 }
 
 impl Door {
     /// `changes`: what the state service takes a second from all nodes, and how many nodes there are.
-    pub fn new(changes: Bounds) -> Door {
-        let now = runtime::now();
-        let share = Share::new(changes);
-        Door {
-            gate: RefCell::new(Gate::new(share.rate(now), now)),
-            share: RefCell::new(share),
-            need: RefCell::new(Need::new(changes, now)),
-        }
+    pub fn new(changes: Bounds, teams: &[hopyoke_core::Team]) -> Door {
+        let guaranteed: Vec<bool> = teams.iter().map(|t| t.cpus > 0.0 || t.gpus > 0.0).collect();
+        let decisions = Decisions::new(changes, &guaranteed, runtime::now());
+        Door { decisions: RefCell::new(decisions), teams: teams.iter().map(|t| t.name.clone()).collect() }
+    }
+
+    fn team(&self, name: &str) -> usize {
+        self.teams.iter().position(|t| t == name).unwrap_or(self.teams.len())
     }
 
     /// One asks to be let in with a job.
     ///
     /// # Errors
     /// There is no room: when to come back.
-    pub fn enter(&self, node: &Node) -> Result<(), RetryAfter> {
-        self.turn(node).enter(runtime::now())
+    pub fn enter(&self, node: &Node, spec: &JobSpec) -> Result<(), RetryAfter> {
+        let (team, leads) = (self.team(&spec.team), node.leading().is_some());
+        self.decisions.borrow_mut().enter(&spec.id, team, leads, runtime::now())
     }
 
     /// One was let in, and found no room further on.
-    pub fn refuse(&self, node: &Node) -> RetryAfter {
-        self.turn(node).refuse(runtime::now())
-    }
-
-    fn turn(&self, node: &Node) -> std::cell::RefMut<'_, Gate> {
-        let now = runtime::now();
-        if node.leading().is_some() {
-            let need = self.need(now);
-            self.share.borrow_mut().heard(need, now);
-        }
-        let mut gate = self.gate.borrow_mut();
-        gate.set_rate(self.share.borrow().rate(now), now);
-        gate
+    pub fn refuse(&self, node: &Node, id: &JobId, team: &str) -> RetryAfter {
+        let (team, leads) = (self.team(team), node.leading().is_some());
+        self.decisions.borrow_mut().refuse(id, team, leads, runtime::now())
     }
 
     /// The leader told what its records need, in answer to what was sent at `sent`.
     pub fn heard(&self, need: f64, sent: Micros) {
-        self.share.borrow_mut().heard(need, sent);
+        self.decisions.borrow_mut().heard(need, sent);
     }
 
-    /// What we ask our peers for: as much as they can spare, while users wait.
+    /// What we ask our peers for.
     pub fn wants(&self) -> f64 {
-        if self.is_pressed() { self.share.borrow().part(runtime::now()) } else { 0.0 }
+        self.decisions.borrow_mut().wants(runtime::now())
     }
 
     /// A peer asks; what it gets.
     pub fn lend(&self, peer: usize, wants: f64) -> f64 {
-        let now = runtime::now();
-        let used = self.gate.borrow_mut().used(now);
-        self.share.borrow_mut().lend(peer, wants, used, self.is_pressed(), now)
+        self.decisions.borrow_mut().lend(peer, wants, runtime::now())
     }
 
     /// A peer lent us changes, in answer to what was asked at `sent`.
     pub fn borrowed(&self, peer: usize, rate: f64, sent: Micros) {
-        self.share.borrow_mut().borrowed(peer, rate, sent);
+        self.decisions.borrow_mut().borrowed(peer, rate, sent);
+    }
+
+    /// What to tell a peer of our line.
+    pub fn words(&self, peer: usize) -> Vec<Place> {
+        let words = self.decisions.borrow_mut().words(peer, runtime::now());
+        let place = |w: Word| Place {
+            job: w.job.to_string(),
+            team: w.tenant as u32,
+            due_us: w.due_in.map_or(0, |span| span.0.max(1)),
+        };
+        words.into_iter().map(place).collect()
+    }
+
+    /// A peer told of its line. What is no job's id is passed over.
+    pub fn heard_words(&self, peer: usize, places: &[Place]) {
+        let word = |p: &Place| {
+            let due_in = (p.due_us > 0).then_some(Micros(p.due_us));
+            Some(Word { job: JobId::parse(&p.job)?, tenant: p.team as usize, due_in })
+        };
+        let words: Vec<Word> = places.iter().filter_map(word).collect();
+        self.decisions.borrow_mut().heard_words(peer, &words, runtime::now());
     }
 
-    /// Some were refused and have not had the time to come back. The load balancer spreads users, so
-    /// others are as crowded.
     pub fn is_pressed(&self) -> bool {
-        self.gate.borrow().line(runtime::now()) > Micros::ZERO
+        self.decisions.borrow_mut().is_pressed(runtime::now())
     }
 
-    /// We lead, and wrote so many changes, or have more to write than the rate allows.
+    /// We lead, and wrote so many changes.
     pub fn wrote(&self, changes: usize) {
-        self.need.borrow_mut().wrote(changes, runtime::now());
+        self.decisions.borrow_mut().wrote(changes, runtime::now());
     }
 
+    /// We lead, and have more to write than the rate allows.
     pub fn short(&self) {
-        self.need.borrow_mut().short(runtime::now());
+        self.decisions.borrow_mut().short(runtime::now());
     }
 
     /// What our records need while we lead.
-    pub fn need(&self, now: Micros) -> f64 {
-        self.need.borrow_mut().rate(now)
+    pub fn need(&self) -> f64 {
+        self.decisions.borrow_mut().need(runtime::now())
     }
 
     /// Let in, refused, the line, and the rate, for operators.
     pub fn counts(&self) -> (u64, u64, Micros, f64) {
-        let now = runtime::now();
-        let gate = self.gate.borrow();
-        let (let_in, refused) = gate.counts();
-        (let_in, refused, gate.line(now), self.share.borrow().rate(now))
+        self.decisions.borrow_mut().counts(runtime::now())
+    }
+
+    /// By team: its name, let in, refused, for operators.
+    pub fn team_counts(&self) -> Vec<(String, u64, u64)> {
+        let names = self.teams.iter().cloned().chain(["others".to_owned()]);
+        let decisions = self.decisions.borrow();
+        names.zip(decisions.team_counts()).map(|(name, (let_in, refused))| (name, let_in, refused)).collect()
     }
 }
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -48,14 +48,16 @@
         open: crowd.open,
         most: crowd.most,
         shares: crowd.shares,
-        need: node.leading().map_or(0.0, |_| node.door.need(runtime::now())),
+        need: node.leading().map_or(0.0, |_| node.door.need()),
+        line: Vec::new(),
     }
 }
 
 /// Greets one peer every second or so.
 pub async fn greet(node: Rc<Node>, peer: usize) {
     loop {
-        let mine = greeting(&node, false);
+        let mut mine = greeting(&node, false);
+        mine.line = node.door.words(peer);
         let link = &node.links.0[peer];
         let sent = runtime::now();
         if let Some(answer) = link.call(GREET, |mut c| async move { c.greet(mine).await }).await {
@@ -226,6 +228,7 @@
             let mut answer = self::greeting(node, true);
             if let Some(peer) = peer {
                 note_crowd(node, peer, &greeting);
+                node.door.heard_words(peer, &greeting.line);
                 answer.lent = node.door.lend(peer, greeting.wants);
             }
             let _ = reply.send(answer);
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -142,7 +142,7 @@
             flows,
             config: Config::of(&settings),
             state: State::new(settings.endpoints.state, bounds(settings.facts.state.rps)),
-            door: Door::new(bounds(settings.facts.state.write_rps)),
+            door: Door::new(bounds(settings.facts.state.write_rps), &Config::of(&settings).teams),
             cloud: Cloud::new(settings.endpoints.cloud, settings.facts.cloud.rps),
             catalog: RefCell::default(),
             leader: RefCell::default(),
--- a/crates/hopyoke/src/status.rs
+++ b/crates/hopyoke/src/status.rs
@@ -19,6 +19,9 @@
         "door let_in {let_in} refused {refused} line_s {:.0} rate {rate:.1} a second",
         line.as_secs_f64()
     );
+    for (team, let_in, refused) in node.door.team_counts().into_iter().filter(|(_, l, r)| l + r > 0) {
+        let _ = writeln!(out, "door team {team} let_in {let_in} refused {refused}");
+    }
     for importance in Importance::ALL {
         let (sent, held_back) = node.state.counts(importance);
         let _ = writeln!(out, "state requests {importance:?} sent {sent} held_back {held_back}");
