A new leader waits until workers have been past the nodes that are away

Workers reach it only after 4 s and 1 s at each of the others, 10 s in all; a few come by chance, and then 3.5 s of quiet counted as certain. It gave up, the first led again without being reached, and leases of 14 s ran out.

Change: the leader counts as cut off after one and a half intervals only once eight machines have found it; before that, if workers answer its orders, it waits for as long as a worker may need past all other nodes. Who gets no answer to its orders either gives up as before.

--- a/crates/hopyoke-routing/tests/routing.rs
+++ b/crates/hopyoke-routing/tests/routing.rs
@@ -1,7 +1,7 @@
 //! Where reports go, and how they are carried, for any order of events.
 
 use hopyoke_routing::{Carrier, Crowd, Hearing, Route, Routes};
-use hopyoke_types::Micros;
+use hopyoke_types::{MachineId, Micros};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 
@@ -110,6 +110,12 @@
 }
 
 /// Looks every 200 ms from `from` to `until` (in tenths of a second); when it is found cut off.
+fn all_found(h: &mut Hearing) {
+    for n in 0..100 {
+        h.heard(&MachineId::new(&format!("m-{n:06}")));
+    }
+}
+
 fn cut_off_at(h: &mut Hearing, machines: usize, from: u64, until: u64) -> Option<u64> {
     (from..until).step_by(2).find(|t| h.is_cut_off(machines, true, Micros::from_millis(t * 100)))
 }
@@ -117,9 +123,9 @@
 #[test]
 fn many_silent_machines_are_certain_sooner_than_few() {
     let hearing = |heard: bool| {
-        let mut h = Hearing::new(Micros::from_secs(2), Micros::ZERO);
+        let mut h = Hearing::new(Micros::from_secs(2), 3, Micros::ZERO);
         if heard {
-            h.heard();
+            all_found(&mut h);
         }
         h
     };
@@ -132,19 +138,39 @@
 
 #[test]
 fn a_standstill_speaks_against_nobody() {
-    let mut h = Hearing::new(Micros::from_secs(2), Micros::ZERO);
-    h.heard();
+    let mut h = Hearing::new(Micros::from_secs(2), 3, Micros::ZERO);
+    all_found(&mut h);
     assert_eq!(cut_off_at(&mut h, 100, 0, 20), None);
     // It stood still for 18 s: what came meanwhile has not been read yet.
     assert!(!h.is_cut_off(100, true, Micros::from_secs(20)));
-    h.heard();
+    all_found(&mut h);
     assert_eq!(cut_off_at(&mut h, 100, 201, 230), None);
 }
 
 #[test]
 fn who_was_not_entitled_waits_for_workers_to_come_back() {
-    let mut h = Hearing::new(Micros::from_secs(2), Micros::ZERO);
-    h.heard();
+    let mut h = Hearing::new(Micros::from_secs(2), 3, Micros::ZERO);
+    all_found(&mut h);
     assert!(!h.is_cut_off(100, false, Micros::from_secs(10)));
     assert_eq!(cut_off_at(&mut h, 100, 101, 150), None);
 }
+
+/// Two of three nodes are away: workers come to the third only after both have kept them waiting. Seen on
+/// bangkarera-hire-ops: the third gave up after 3.5 s, the first took the lead again without being reached, and 837
+/// attempts were killed by their lease.
+#[test]
+fn a_new_leader_waits_until_workers_have_been_past_the_others() {
+    let mut h = Hearing::new(Micros::from_secs(2), 3, Micros::ZERO);
+    h.answered();
+    // One came by chance.
+    h.heard(&MachineId::new("m-000001"));
+    assert_eq!(cut_off_at(&mut h, 100, 0, 130), None);
+    // Nobody else found it: then it is of no use either.
+    assert!(cut_off_at(&mut h, 100, 130, 200).is_some());
+}
+
+#[test]
+fn who_reaches_no_worker_does_not_wait_for_them() {
+    let mut h = Hearing::new(Micros::from_secs(2), 3, Micros::ZERO);
+    assert!(cut_off_at(&mut h, 100, 0, 65).is_some());
+}
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -185,7 +185,7 @@
     let leading = Rc::new(Leading {
         core: RefCell::new(core),
         right,
-        hearing: RefCell::new(Hearing::new(node.config.report, now)),
+        hearing: RefCell::new(Hearing::new(node.config.report, node.settings.facts.nodes, now)),
         bell: Bell::default(),
         write_bell: Bell::default(),
         cancel: cancel.clone(),
--- a/crates/hopyoke/src/workers.rs
+++ b/crates/hopyoke/src/workers.rs
@@ -72,7 +72,7 @@
         }
     };
     let now = runtime::now();
-    leading.hearing.borrow_mut().heard();
+    leading.hearing.borrow_mut().heard(&report.machine);
     let mut core = leading.core.borrow_mut();
     if report.token > core.token {
         // Somebody has been granted more than we know of.
@@ -178,6 +178,7 @@
         match result {
             Ok(r) if matches!(r.status, 200 | 409) => {
                 let report: Option<Report> = decode(&r.body).ok();
+                leading.hearing.borrow_mut().answered();
                 core.direct_answer(&machine, r.status == 200, report.as_ref(), now);
             }
             Ok(r) => {
