A large gang begins although its team keeps its limit in use; stops are never left for the next answer

Cause: a gang that its team's limit kept waiting reserved nothing, so single tasks took every piece of the limit that fell free, and turns by size and wait let those that it held back pass it again. Change: such a gang holds later work of its team back, and one that needs over a quarter of the limit comes before its importance's other work after 60 s.

Also: an answer that renews a lease carries all stops, whatever else waits (400 orders were the bound); a late copy of a report does not count as hearing its worker.

--- a/crates/hopyoke-admission/src/lib.rs
+++ b/crates/hopyoke-admission/src/lib.rs
@@ -1,8 +1,11 @@
 //! Whose turn it is among work that waits, without any I/O.
 //!
 //! [`turns`]: the order inside one tenant. Which tenant comes before which is decided elsewhere; the
-//! places that a tenant's jobs hold together among all others stay the same.
+//! places that a tenant's jobs hold together among all others stay the same. [`is_due`]: which gangs need
+//! so much at once that turns don't serve them.
 
 mod turns;
+mod whole;
 
 pub use turns::{MOST_WAIT, Waiting, take_turns};
+pub use whole::is_due;
--- a/crates/hopyoke-core/src/plan/gang.rs
+++ b/crates/hopyoke-core/src/plan/gang.rs
@@ -7,6 +7,7 @@
 use crate::amounts::Amounts;
 use crate::check::Verdict;
 use hopyoke_types::{JobId, Micros};
+use hopyoke_wire::user::{JobKind, JobSpec};
 use std::cmp::Reverse;
 use tracing::debug;
 
@@ -30,6 +31,9 @@
         let term = job.term;
         let count = missing.len() as u32;
         if !plan.charge(&needs, count, &self.cfg.teams) {
+            if !needs.suspect {
+                self.reserve_quota(&needs, plan, count);
+            }
             return "its team's limit";
         }
         // For a gang that failed on several machines nothing is rented and no room is kept.
@@ -123,6 +127,22 @@
         None
     }
 
+    /// A gang that its team's limit keeps waiting holds later work of the team back, so that what ends makes
+    /// room for it: without this, single tasks take every piece of the limit that falls free, and a gang that
+    /// needs much of it never begins. Not if the team's services, which don't end, leave it no room anyway.
+    /// (Scenario largest_begin.)
+    fn reserve_quota(&self, needs: &Needs, plan: &mut Plan, count: u32) {
+        let Some(team) = needs.team else { return };
+        self.looked_at(self.jobs.len());
+        let of_team = |spec: &JobSpec| spec.kind == JobKind::Service && spec.team == needs.spec.team;
+        let lasting = self.jobs.values().filter(|j| of_team(&j.spec));
+        let lasting = lasting.fold(Amounts::default(), |sum, j| sum + j.task.times(j.places.len() as f64));
+        let gang = needs.task.times(f64::from(count));
+        if self.cfg.teams[team].allows(&(lasting + gang)) {
+            plan.used[team] = plan.used[team] + gang;
+        }
+    }
+
     /// A gang that finds no room keeps lesser work off the machines that will hold it: without
     /// this, single tasks take every place that falls free, and gangs starve. Machines without
     /// replicas, which stay long, are chosen; the emptiest first, and in one zone if it must be.
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -19,10 +19,10 @@
 mod view;
 mod wind_up;
 
-use super::Core;
 use super::amounts::{Amounts, Team};
 use super::fleet::{Slot, SlotState};
 use super::rent::Demand;
+use super::{Core, Job};
 use hopyoke_types::{Attempt, JobId, MachineId, Micros, TaskId};
 use hopyoke_wire::user::Priority;
 use hopyoke_wire::worker::TaskState;
@@ -38,6 +38,9 @@
 /// One attempt of one task.
 type TaskKey = (TaskId, Attempt);
 
+/// In place of the time of acceptance: before all others of its importance.
+const DUE: u64 = 0;
+
 /// Work for which room was found.
 struct Start {
     job: JobId,
@@ -193,7 +196,8 @@
                 (Priority::Normal, _) => 3,
                 (Priority::Low, _) => 4,
             };
-            keyed.push(((class, spec.priority, accepted_us), id.clone()));
+            let due = job.is_gang() && self.is_due(job, now);
+            keyed.push(((class, spec.priority, if due { DUE } else { accepted_us }), id.clone()));
         }
         keyed.sort_unstable();
         self.take_turns(&mut keyed, now);
@@ -208,6 +212,15 @@
         keyed.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// A gang that its turn does not serve, for it needs much of its team's limit at once.
+    fn is_due(&self, job: &Job, now: Micros) -> bool {
+        let Some(team) = self.team(&job.spec.team) else { return false };
+        let need = job.task.times(f64::from(job.unplaced()));
+        let part = |need: f64, most: f64| if most > 0.0 { need / most } else { 0.0 };
+        let part = part(need.cpus, team.cpus_max).max(part(need.gpus, team.gpus_max));
+        hopyoke_admission::is_due(part, self.ago(job.accepted_us, now))
+    }
+
     /// Puts an attempt on a machine; its start order goes out with the next orders.
     fn start(&mut self, s: Start, now: Micros) {
         let Some(job) = self.jobs.get_mut(&s.job) else { return };
--- a/crates/hopyoke-core/src/plan/turns.rs
+++ b/crates/hopyoke-core/src/plan/turns.rs
@@ -1,7 +1,7 @@
 //! Whose turn it is inside a tenant (a team with a class): see [`hopyoke_admission`].
 
-use super::Keyed;
-use crate::Core;
+use super::{DUE, Keyed};
+use crate::{Core, Job};
 use hopyoke_admission::Waiting;
 use hopyoke_types::Micros;
 use hopyoke_wire::user::{JobKind, Priority};
@@ -16,7 +16,8 @@
         let mut tenants: BTreeMap<(u8, Priority, &str, &str), usize> = BTreeMap::new();
         let (mut places, mut waiting) = (Vec::new(), Vec::new());
         for (place, ((class, priority, accepted_us), id)) in keyed.iter().enumerate() {
-            let Some(job) = self.jobs.get(id).filter(|j| j.spec.kind != JobKind::Service) else { continue };
+            let turns = |j: &&Job| j.spec.kind != JobKind::Service && *accepted_us != DUE;
+            let Some(job) = self.jobs.get(id).filter(turns) else { continue };
             let spec = &job.spec;
             let next = tenants.len();
             let tenant = *tenants.entry((*class, *priority, &spec.team, &spec.class)).or_insert(next);
--- a/crates/hopyoke-core/src/reports.rs
+++ b/crates/hopyoke-core/src/reports.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, PartialEq)]
 pub struct Answer {
     pub token: Token,
+    /// The report was newer than all before. One that is not says nothing about now.
+    pub fresh: bool,
     pub orders: Vec<Order>,
 }
 
@@ -35,7 +37,7 @@
             }
             orders = self.orders_for(&report.machine, Some((report.session, report.seq)), now);
         }
-        Answer { token: self.token, orders }
+        Answer { token: self.token, fresh, orders }
     }
 
     /// A worker answered direct orders (or refused them) with its report.
@@ -470,10 +472,16 @@
         let Some(m) = self.machines.get_mut(id) else { return Vec::new() };
         self.orders_due.remove(id);
         let may_start = m.registered && m.settled(self.token);
+        // Stops of work that is over come first and are never left for the next answer: this one renews the
+        // lease of whatever it does not stop. (Guards `ran_cancelled`.)
+        let mut stops = Vec::new();
         let mut orders = Vec::new();
         for ((task, attempt), slot) in m.slots_in_flight() {
             let (name, attempt) = (task.to_string(), *attempt);
             let job = self.jobs.get(&task.job);
+            // Answers to workers are bounded; the rest goes with the next. A machine holds no more attempts than
+            // its report has room for, so all stops fit.
+            let room = orders.len() < MOST_ORDERS;
             match slot.state {
                 SlotState::Ended(why) => {
                     let recorded = match job {
@@ -484,14 +492,14 @@
                     };
                     // A result is reaped only once it is recorded, and an attempt whose start may
                     // yet be executed late never: after a reap it would run again.
-                    if recorded && !slot.doubtful && !slot.direct {
+                    if room && recorded && !slot.doubtful && !slot.direct {
                         orders.push(Order::Forget { task: name, attempt });
                     }
                 }
                 SlotState::Sent => {
                     let recorded = job.is_none_or(|j| j.may_start(attempt));
                     match slot.stop {
-                        None if may_start && recorded => {
+                        None if room && may_start && recorded => {
                             match answers {
                                 Some(a) => slot.offered = Some(a),
                                 None => slot.direct = true,
@@ -500,10 +508,10 @@
                         }
                         // It may be executed late unless the worker knows it as stopped already.
                         Some(_) if slot.doubtful && now >= slot.since + Micros::from_secs(5) => {
-                            orders.push(Order::Start { task: name.clone(), attempt });
-                            orders.push(Order::Stop { task: name, attempt, grace_s: 0.0 });
+                            stops.push(Order::Start { task: name.clone(), attempt });
+                            stops.push(Order::Stop { task: name, attempt, grace_s: 0.0 });
                         }
-                        Some(_) => orders.push(Order::Stop { task: name, attempt, grace_s: 0.0 }),
+                        Some(_) => stops.push(Order::Stop { task: name, attempt, grace_s: 0.0 }),
                         None => {}
                     }
                 }
@@ -511,16 +519,13 @@
                     if let Some(stop) = slot.stop
                         && (state != TaskState::Saving || stop.grace_s == 0.0)
                     {
-                        orders.push(Order::Stop { task: name, attempt, grace_s: stop.grace_s });
+                        stops.push(Order::Stop { task: name, attempt, grace_s: stop.grace_s });
                     }
                 }
             }
-            // Answers to workers are bounded; the rest goes with the next.
-            if orders.len() >= 400 {
-                break;
-            }
         }
-        orders
+        stops.append(&mut orders);
+        stops
     }
 
     /// After a takeover, registered machines are asked at once what is on them, instead of waiting
@@ -593,6 +598,9 @@
     }
 }
 
+/// Starts and removals in one answer.
+const MOST_ORDERS: usize = 400;
+
 /// Machines asked at the same time: each takes a socket, and silent ones hold theirs for the
 /// whole time limit, so there must be enough for the others to pass them.
 const MOST_PROBES: usize = 96;
--- a/crates/hopyoke/src/workers.rs
+++ b/crates/hopyoke/src/workers.rs
@@ -72,7 +72,6 @@
         }
     };
     let now = runtime::now();
-    leading.hearing.borrow_mut().heard(&report.machine);
     let mut core = leading.core.borrow_mut();
     if report.token > core.token {
         // Somebody has been granted more than we know of.
@@ -80,6 +79,11 @@
         return Err(503);
     }
     let answer = leading.planning(node, &mut core, |core| core.report(&report, now));
+    // A copy that arrives late does not show that its worker reaches us now. (Guards against a leader that no
+    // worker reaches any more, and that goes on for as long as old reports arrive.)
+    if answer.fresh {
+        leading.hearing.borrow_mut().heard(&report.machine);
+    }
     // A report without news leaves nothing to do.
     if core.next_due(now) <= now || core.has_actions() {
         leading.bell.ring();
