--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -930,11 +930,12 @@
                 if !w.alive(i, process) || w.now > sent + Micros::from_secs(2) {
                     return;
                 }
+                let led = news.is_some();
                 if let Some(news) = news {
                     w.take_news(i, process, news, sent);
                 }
                 // The leader answers from its core, the others from the records.
-                let in_core = w.lead(i, process).map(|l| l.core.jobs.contains_key(&id));
+                let in_core = w.lead(i, process).filter(|_| led).map(|l| l.core.jobs.contains_key(&id));
                 match (in_core.unwrap_or(unfinished), end) {
                     (true, _) if asked.is_some() => w.broke("went_back", format!("{id} is called unfinished")),
                     (true, _) => w.told(&id, None),
