--- a/crates/hopyoke/src/follow.rs
+++ b/crates/hopyoke/src/follow.rs
@@ -35,7 +35,7 @@
                     let now = runtime::now();
                     let mut core = leading.core.borrow_mut();
                     let listed: BTreeSet<JobId> = pairs.iter().filter_map(|p| job_id_of(&p.key)).collect();
-                    // A job that is newer than the list has come by a nudge or a question meanwhile.
+                    // A job that is newer than the list has come by a notification or a question meanwhile.
                     // (Guards `forgotten`: it would be taken for over.)
                     let old = |id: &JobId| core.jobs.get(id).is_some_and(|j| j.mark.0 <= revision);
                     let gone: Vec<JobId> =
--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -215,10 +215,10 @@
     }
 
     /// Tells the peer that a job was accepted or cancelled. Only a hint: its watch tells it too.
-    pub async fn nudge(&self, from: &str, job: &JobId) {
+    pub async fn notify(&self, from: &str, job: &JobId) {
         if self.fresh() {
             let news = News { node: from.to_owned(), job: job.to_string() };
-            let _ = self.call(GREET, |mut c| async move { c.nudge(news).await }).await;
+            let _ = self.call(GREET, |mut c| async move { c.notify(news).await }).await;
         }
     }
 
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -137,7 +137,7 @@
 /// A request that reached us over the mesh, with where its answer goes.
 enum Call {
     Greet(Greeting, oneshot::Sender<Greeting>),
-    Nudge(News, oneshot::Sender<Greeting>),
+    Notify(News, oneshot::Sender<Greeting>),
     Forward(UserRequest, oneshot::Sender<UserAnswer>),
     Carry(Reports, oneshot::Sender<ReportAnswers>),
     Status(oneshot::Sender<String>),
@@ -149,26 +149,26 @@
 
 /// tonic wants handlers that can be sent between threads; ours hand each call to a local routine.
 #[derive(Clone)]
-struct Door(mpsc::Sender<Call>);
+struct Handlers(mpsc::Sender<Call>);
 
 const MOST_WAITING: usize = 64;
 
-impl Door {
+impl Handlers {
     async fn pass<T>(&self, make: impl FnOnce(oneshot::Sender<T>) -> Call) -> Result<tonic::Response<T>, Status> {
         let (reply, answer) = oneshot::channel();
-        let mut door = self.0.clone();
-        door.try_send(make(reply)).map_err(|_| Status::resource_exhausted("too many calls waiting"))?;
+        let mut queue = self.0.clone();
+        queue.try_send(make(reply)).map_err(|_| Status::resource_exhausted("too many calls waiting"))?;
         answer.await.map(tonic::Response::new).map_err(|_| Status::permission_denied("refused"))
     }
 }
 
 #[tonic::async_trait]
-impl Mesh for Door {
+impl Mesh for Handlers {
     async fn greet(&self, r: tonic::Request<Greeting>) -> Result<tonic::Response<Greeting>, Status> {
         self.pass(|reply| Call::Greet(r.into_inner(), reply)).await
     }
-    async fn nudge(&self, r: tonic::Request<News>) -> Result<tonic::Response<Greeting>, Status> {
-        self.pass(|reply| Call::Nudge(r.into_inner(), reply)).await
+    async fn notify(&self, r: tonic::Request<News>) -> Result<tonic::Response<Greeting>, Status> {
+        self.pass(|reply| Call::Notify(r.into_inner(), reply)).await
     }
     async fn forward(&self, r: tonic::Request<UserRequest>) -> Result<tonic::Response<UserAnswer>, Status> {
         self.pass(|reply| Call::Forward(r.into_inner(), reply)).await
@@ -194,7 +194,7 @@
     }
 }
 
-struct HyperService(MeshServer<Door>);
+struct HyperService(MeshServer<Handlers>);
 
 impl hyper::service::Service<http::Request<Incoming>> for HyperService {
     type Response = http::Response<tonic::body::Body>;
@@ -219,7 +219,7 @@
             return;
         }
     };
-    let (door, mut calls) = mpsc::channel(MOST_WAITING);
+    let (queue, mut calls) = mpsc::channel(MOST_WAITING);
     let local = node.clone();
     runtime::spawn_until(node.cancel.clone(), async move {
         while let Some(call) = calls.next().await {
@@ -237,12 +237,12 @@
             continue;
         }
         open.set(open.get() + 1);
-        let (open, door) = (open.clone(), door.clone());
+        let (open, queue) = (open.clone(), queue.clone());
         runtime::spawn_until(node.cancel.clone(), async move {
             let connection = hyper::server::conn::http2::Builder::new(LocalExec)
                 .max_concurrent_streams(32)
                 .max_header_list_size(8 * 1024)
-                .serve_connection(stream, HyperService(MeshServer::new(Door(door))));
+                .serve_connection(stream, HyperService(MeshServer::new(Handlers(queue))));
             // A connection that a cut left behind must not stay for ever: peers make a new one.
             let _ = runtime::timeout(Micros::from_secs(600), connection).await;
             open.set(open.get() - 1);
@@ -273,7 +273,7 @@
             answer.lent = node.door.lend(peer, greeting.wants);
             let _ = reply.send(answer);
         }
-        Call::Nudge(news, reply) => {
+        Call::Notify(news, reply) => {
             if known(node, &news.node).is_none() {
                 return;
             }
--- a/crates/hopyoke/src/records.rs
+++ b/crates/hopyoke/src/records.rs
@@ -102,7 +102,7 @@
     let changes = vec![Change::Put { key: job_key(&id), value: record, lease: None }];
     let end = node.state.accepting().txn(conditions, changes).await?;
     if matches!(end, TxnEnd::Applied(_)) {
-        nudge(node, &id);
+        notify(node, &id);
     }
     Ok(end)
 }
@@ -125,7 +125,7 @@
         match node.state.cancelling().txn(conditions, changes).await? {
             TxnEnd::Applied(mark) => {
                 found_ended(node, id, end, mark);
-                nudge(node, id);
+                notify(node, id);
                 return Ok(Some(Lookup::Finished(end)));
             }
             // Its record changed meanwhile, by the leader's progress most likely.
@@ -136,7 +136,7 @@
 }
 
 /// Tells the leader, in the background, that a job was accepted or cancelled here.
-fn nudge(node: &Rc<Node>, id: &JobId) {
+fn notify(node: &Rc<Node>, id: &JobId) {
     if node.leading().is_some() {
         return;
     }
@@ -144,7 +144,7 @@
     runtime::spawn_until(node.cancel.clone(), async move {
         let leader = node.leader.borrow().clone();
         if let Some(link) = leader.as_deref().and_then(|l| node.links.by_name(l)) {
-            link.nudge(&node.settings.node, &id).await;
+            link.notify(&node.settings.node, &id).await;
         }
     });
 }
