--- a/crates/hopyoke/src/links.rs
+++ b/crates/hopyoke/src/links.rs
@@ -146,9 +146,12 @@
     }
 
     /// Takes in what it said of itself; false: that is of a process before the one that we know, or of another
-    /// node, and counts for nothing. (A greeting that a cut held back arrives long after its process ended.)
-    pub fn note(&self, greeting: &Greeting) -> bool {
-        if greeting.node != self.peer.node || greeting.process == self.former.get() {
+    /// node, and counts for nothing. (A greeting that a cut held back arrives long after its process ended.) What
+    /// `answers` a call of ours is of a process that lives, whatever arrived before: so a late greeting of a process
+    /// that we had not known is set right within a second.
+    pub fn note(&self, greeting: &Greeting, answers: bool) -> bool {
+        let former = !answers && greeting.process == self.former.get();
+        if greeting.node != self.peer.node || former {
             self.stale.set(self.stale.get() + 1);
             debug!(peer = %self.peer.node, said = %greeting.node, "a stale greeting");
             return false;
--- a/crates/hopyoke/src/mesh.rs
+++ b/crates/hopyoke/src/mesh.rs
@@ -91,7 +91,7 @@
         let sent = runtime::now();
         let answer = link.call(GREET, |mut c| async move { c.greet(mine).await }).await;
         if let Some(answer) = answer
-            && link.note(&answer)
+            && link.note(&answer, true)
         {
             note_crowd(&node, peer, &answer);
             node.door.borrowed(peer, answer.lent, sent);
@@ -264,7 +264,7 @@
     match call {
         Call::Greet(greeting, reply) => {
             let Some(peer) = known(node, &greeting.node) else { return };
-            if !node.links.0[peer].note(&greeting) {
+            if !node.links.0[peer].note(&greeting, false) {
                 return;
             }
             let mut answer = answer_to(node, &greeting);
