--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -180,6 +180,8 @@
     pub no_room: BTreeMap<MachineId, Micros>,
     /// Until when copies of reports arrive again, and of how many in a hundred.
     pub late_reports: store::Spell,
+    /// Until when direct orders are held up unanswered, and of how many in a hundred.
+    pub late_commands: store::Spell,
     /// Reports that wait for the next leader.
     pub reports_for_next: store::ForNext,
     /// When the last trouble so far is over.
@@ -250,6 +252,7 @@
             no_sockets: BTreeMap::new(),
             no_room: BTreeMap::new(),
             late_reports: store::Spell::default(),
+            late_commands: store::Spell::default(),
             reports_for_next: store::ForNext::default(),
             trouble_until: Micros::ZERO,
             habits: users::Habits::default(),
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -359,7 +359,7 @@
                 w.store.refused.insert(node, until);
             }
         }
-        spell @ ("lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports") => {
+        spell @ ("lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports" | "late_commands") => {
             let percent = num(word(&mut it)) as u64;
             let p = pairs(&mut it);
             let spell_ends = Spell { percent, until: w.now + secs(p["for"]) };
@@ -368,6 +368,7 @@
                 "lost_answers" => &mut w.store.lost_answers,
                 "lost_renewals" => &mut w.store.lost_renewals,
                 "late_writes" => &mut w.store.late_writes,
+                "late_commands" => &mut w.late_commands,
                 "held_reports" => &mut w.reports_for_next.held,
                 _ if next.is_some() => &mut w.reports_for_next.copied,
                 _ => &mut w.late_reports,
@@ -795,7 +796,7 @@
     let back = ["0.05", "0.2", "1", "6"][w.random(0, 3) as usize];
     let share = [20, 60, 100][w.random(0, 2) as usize];
     let job = w.random(1, 40);
-    match w.random(0, 44) {
+    match w.random(0, 47) {
         0 => format!("crash {who} back 6"),
         1 => "crash all back 6".into(),
         2 => format!("cut {who} from state for {span} packets {held}"),
@@ -831,6 +832,7 @@
         42 => format!("hold_orders of:req-{job:06} for {span}"),
         43 => format!("hold_answers of:req-{job:06} for {}", w.random(1, 8)),
         44 => format!("lost_renewals {share} for {span}"),
+        45..=47 => format!("late_commands {share} for {}", span * 2),
         29 => format!("slow_state {}.{} for {span}", w.random(0, 2), w.random(1, 9)),
         25 => format!("lost_answers {share} for {span}"),
         26 => format!("late_reports {share} for {}", span * 3),
