--- a/crates/hopyoke-admission/src/whole.rs
+++ b/crates/hopyoke-admission/src/whole.rs
@@ -1,4 +1,4 @@
-//! Work that needs much of its team's limit at once.
+//! Work that turns by size and wait serve too late.
 
 use hopyoke_types::Micros;
 
@@ -17,3 +17,17 @@
 pub fn is_due(part: f64, waited: Micros) -> bool {
     part > LARGE && waited >= PATIENCE
 }
+
+/// After this a job is to have begun. Users expect that even of the largest within four minutes, boots and fetches of
+/// images among them.
+const OVERDUE: Micros = Micros::from_secs(120);
+
+/// A job whose tasks need not run at once, and none of which runs yet, has waited so long that its first task comes before
+/// all work of its importance.
+///
+/// Where a tenant offers half as much again as its limit lets run, turns by size and wait let its largest jobs begin
+/// after more than four minutes. One task each costs the others next to nothing, however many of them wait; the rest
+/// of the job goes on to take its turn.
+pub fn is_overdue(waited: Micros) -> bool {
+    waited >= OVERDUE
+}
--- a/crates/hopyoke-core/src/plan/each.rs
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -15,6 +15,10 @@
     /// Arrays and services: each task for itself.
     pub(super) fn place_each(&mut self, id: &JobId, plan: &mut Plan, now: Micros) -> &'static str {
         let (Some(mut needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return "" };
+        let begun = plan.begun.get(id).copied();
+        if let Some((_, zone)) = begun {
+            needs.zones[zone] += 1;
+        }
         let (mut unknown, mut soon) = (false, false);
         let mut startable = Vec::new();
         let mut ahead = Vec::new();
@@ -26,6 +30,7 @@
                 break;
             }
             match self.check(job, index) {
+                _ if begun.is_some_and(|(first, _)| first == index) => {}
                 Verdict::StartAnew if n >= window => ahead.push(index),
                 Verdict::StartAnew => startable.push(index),
                 Verdict::Unknown => unknown = true,
@@ -111,6 +116,23 @@
             _ => "",
         }
     }
+
+    /// Lets an array that is overdue begin, with one task on room that is there: nothing is rented or stopped for it.
+    pub(super) fn place_first(&mut self, id: &JobId, plan: &mut Plan, now: Micros) {
+        let (Some(mut needs), Some(job)) = (self.needs(id), self.jobs.get(id)) else { return };
+        let index = job.done.first_missing();
+        if needs.suspect || self.check(job, index) != Verdict::StartAnew {
+            return;
+        }
+        let mut candidates = self.candidates(&needs, plan, None);
+        let bin = candidates.best(&needs, plan, |b| plan.score(&needs, b)).filter(|b| plan.bins[*b].ready);
+        let Some(bin) = bin.filter(|_| plan.charge(&needs, 1, &self.cfg.teams)) else { return };
+        let image = plan.has_image(&plan.bins[bin], needs.image);
+        plan.take(bin, &mut needs);
+        plan.begun.insert(id.clone(), (index, plan.bins[bin].zone));
+        self.start_on(bin, id, index, image, plan, now);
+    }
+
     /// Has the plan start a task in a bin for which room was taken.
     fn start_on(&mut self, bin: usize, job: &JobId, index: u32, image: bool, plan: &mut Plan, now: Micros) {
         if let Some(machine) = plan.bins[bin].machine.clone() {
--- a/crates/hopyoke-core/src/plan/mod.rs
+++ b/crates/hopyoke-core/src/plan/mod.rs
@@ -24,8 +24,9 @@
 use super::rent::Demand;
 use super::{Core, Job};
 use hopyoke_types::{Attempt, JobId, MachineId, Micros, TaskId};
-use hopyoke_wire::user::Priority;
+use hopyoke_wire::user::{JobKind, Priority};
 use hopyoke_wire::worker::TaskState;
+use std::collections::BTreeMap;
 use tracing::{debug, info};
 use view::Plan;
 
@@ -35,11 +36,20 @@
 /// A job in the order of placement: class of importance, priority, acceptance.
 type Keyed = ((u8, Priority, u64), JobId);
 
+/// A job's place in that order.
+struct Turn {
+    id: JobId,
+    /// It is an array that only begins here, with one task; the rest has a place of its own.
+    first: bool,
+}
+
 /// One attempt of one task.
 type TaskKey = (TaskId, Attempt);
 
 /// In place of the time of acceptance: before all others of its importance.
 const DUE: u64 = 0;
+/// In place of the time of acceptance: after those alone. (It keeps the order: a due gang needs its team's limit at once.)
+const OVERDUE: u64 = 1;
 
 /// Work for which room was found.
 struct Start {
@@ -63,7 +73,7 @@
         // (it has been told to stop) nothing that counts against a limit is started.
         let strange = plan.strange;
         let unbounded = !self.charge_unknown(&mut plan);
-        for id in order {
+        for Turn { id, first } in order {
             let Some(job) = self.jobs.get(&id) else { continue };
             let why = if job.given_up {
                 "its end to be recorded"
@@ -73,6 +83,9 @@
                 "its backoff"
             } else if (strange || unbounded) && self.limited(&job.spec.team) {
                 "recovery"
+            } else if first {
+                self.place_first(&id, &mut plan, now);
+                continue;
             } else if job.is_gang() {
                 self.place_gang(&id, &mut plan, now)
             } else {
@@ -104,7 +117,7 @@
         }
     }
 
-    fn new_plan(&mut self, order: &[JobId], now: Micros) -> Plan {
+    fn new_plan(&mut self, order: &[Turn], now: Micros) -> Plan {
         let mut plan = Plan {
             bins: Vec::with_capacity(self.machines.len() + 64),
             open: Vec::new(),
@@ -116,6 +129,7 @@
             strange: false,
             keeps_room: self.kept_room.keeps(now),
             starts: Vec::new(),
+            begun: BTreeMap::new(),
             victims: Vec::new(),
             reservations: 0,
             preempt_searches: 0,
@@ -126,7 +140,7 @@
         plan.demand = vec![0; plan.offers.len()];
         self.fill_bins(&mut plan, now);
         // Bins without room even for the smallest waiting task need no second look.
-        let least = order.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.task).reduce(|a, b| Amounts {
+        let least = order.iter().filter_map(|t| self.jobs.get(&t.id)).map(|j| j.task).reduce(|a, b| Amounts {
             cpus: a.cpus.min(b.cpus),
             gpus: a.gpus.min(b.gpus),
             memory_gb: a.memory_gb.min(b.memory_gb),
@@ -170,7 +184,7 @@
     }
 
     /// Jobs with work that has no place, in the order in which they get room.
-    fn order(&mut self, now: Micros) -> Vec<JobId> {
+    fn order(&mut self, now: Micros) -> Vec<Turn> {
         let mut jobs: Vec<(u64, &JobId)> = self.jobs.iter().map(|(id, j)| (j.accepted_us, id)).collect();
         jobs.sort_unstable();
         let mut claimed = vec![Amounts::default(); self.cfg.teams.len()];
@@ -197,6 +211,9 @@
                 (Priority::Normal, _) => 3,
                 (Priority::Low, _) => 4,
             };
+            if spec.kind == JobKind::Array && self.is_overdue(job, now) {
+                keyed.push(((class, spec.priority, OVERDUE), id.clone()));
+            }
             let due = job.is_gang() && self.is_due(job, now);
             keyed.push(((class, spec.priority, if due { DUE } else { accepted_us }), id.clone()));
         }
@@ -210,7 +227,7 @@
                 job.waits_for = "";
             }
         }
-        keyed.into_iter().map(|(_, id)| id).collect()
+        keyed.into_iter().map(|((.., since), id)| Turn { id, first: since == OVERDUE }).collect()
     }
 
     /// A gang that its turn does not serve, for it needs much of its team's limit at once.
@@ -222,6 +239,13 @@
         hopyoke_admission::is_due(part, self.ago(job.accepted_us, now))
     }
 
+    /// An array that has waited so long that one of its tasks is to begin before all others of its importance.
+    /// (Scenario largest_arrays_begin.)
+    fn is_overdue(&self, job: &Job, now: Micros) -> bool {
+        let begun = !job.places.is_empty() || job.done.count() > 0;
+        !begun && hopyoke_admission::is_overdue(self.ago(job.accepted_us, now))
+    }
+
     /// Puts an attempt on a machine; its start order goes out with the next orders.
     fn start(&mut self, s: Start, now: Micros) {
         let Some(job) = self.jobs.get_mut(&s.job) else { return };
--- a/crates/hopyoke-core/src/plan/needs.rs
+++ b/crates/hopyoke-core/src/plan/needs.rs
@@ -1,5 +1,6 @@
 //! What the placement of one job must look at, and the bins that it may use.
 
+use super::Turn;
 use super::view::{Bin, Plan};
 use crate::Core;
 use crate::amounts::Amounts;
@@ -117,9 +118,9 @@
     }
 
     /// Types that some of the waiting work has no alternative to.
-    pub(super) fn niches(&self, waiting: &[JobId]) -> Niches {
+    pub(super) fn niches(&self, waiting: &[Turn]) -> Niches {
         let mut niches = Niches::none(self.types.len());
-        for job in waiting.iter().filter_map(|id| self.jobs.get(id)) {
+        for job in waiting.iter().filter_map(|t| self.jobs.get(&t.id)) {
             niches.add(self.kinds_of(&job.spec).enumerate().filter(|(_, fits)| *fits).map(|(kind, _)| kind));
         }
         niches
--- a/crates/hopyoke-core/src/plan/turns.rs
+++ b/crates/hopyoke-core/src/plan/turns.rs
@@ -1,6 +1,6 @@
 //! Whose turn it is inside a tenant (a team with a class): see [`hopyoke_admission`].
 
-use super::{DUE, Keyed};
+use super::{Keyed, OVERDUE};
 use crate::{Core, Job};
 use hopyoke_admission::Waiting;
 use hopyoke_types::Micros;
@@ -16,7 +16,7 @@
         let mut tenants: BTreeMap<(u8, Priority, &str, &str), usize> = BTreeMap::new();
         let (mut places, mut waiting) = (Vec::new(), Vec::new());
         for (place, ((class, priority, accepted_us), id)) in keyed.iter().enumerate() {
-            let turns = |j: &&Job| j.spec.kind != JobKind::Service && *accepted_us != DUE;
+            let turns = |j: &&Job| j.spec.kind != JobKind::Service && *accepted_us > OVERDUE;
             let Some(job) = self.jobs.get(id).filter(turns) else { continue };
             let spec = &job.spec;
             let next = tenants.len();
--- a/crates/hopyoke-core/src/plan/view.rs
+++ b/crates/hopyoke-core/src/plan/view.rs
@@ -8,8 +8,9 @@
 use crate::rent::Offer;
 use hopyoke_boots::Verdict;
 use hopyoke_spread::Niches;
-use hopyoke_types::{MachineId, Micros};
+use hopyoke_types::{JobId, MachineId, Micros};
 use hopyoke_wire::user::JobKind;
+use std::collections::BTreeMap;
 use tracing::debug;
 
 /// A worker lists each attempt, ended ones until they are recorded, in some 90 characters, and a report may
@@ -78,6 +79,8 @@
     /// Room is kept for gangs that need it to collect; now and then a plan keeps none.
     pub(super) keeps_room: bool,
     pub(super) starts: Vec<Start>,
+    /// Of arrays that this plan lets begin before their turn, the task that starts and its zone.
+    pub(super) begun: BTreeMap<JobId, (u32, usize)>,
     /// Tasks to be stopped for more important ones.
     pub(super) victims: Vec<(MachineId, TaskKey)>,
     /// Gangs that have reserved machines.
--- a/crates/hopyoke-world/src/api.rs
+++ b/crates/hopyoke-world/src/api.rs
@@ -255,7 +255,7 @@
             if w.state_refuses(i) || !w.state_takes(1) {
                 return;
             }
-            let at = w.now.0;
+            let at = w.time_of_day(i).0;
             let record = if flow { JobRecord::of_flow(spec, at) } else { JobRecord::accepted(spec, at) };
             let when = [(format!("job/{id}"), 0), (format!("end/{id}"), 0)];
             let put = Change::Put(format!("job/{id}"), Value::Job(record), None);
--- a/crates/hopyoke-world/src/lib.rs
+++ b/crates/hopyoke-world/src/lib.rs
@@ -109,6 +109,8 @@
     pub done: Vec<bool>,
     pub done_at: Option<Micros>,
     pub starts: u32,
+    /// When the first of its tasks started.
+    pub began: Option<Micros>,
     /// Progress that a gang has saved.
     pub saved: Micros,
 }
@@ -133,6 +135,7 @@
             done: vec![false],
             done_at: None,
             starts: 0,
+            began: None,
             saved: Micros::ZERO,
         }
     }
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -359,7 +359,8 @@
                 w.store.refused.insert(node, until);
             }
         }
-        spell @ ("lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports" | "late_commands") => {
+        spell @ ("lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports"
+        | "late_commands") => {
             let percent = num(word(&mut it)) as u64;
             let p = pairs(&mut it);
             let spell_ends = Spell { percent, until: w.now + secs(p["for"]) };
@@ -595,6 +596,9 @@
     if id.as_str() == "served" || id.as_str() == "ended" {
         return expect_served(w, id.as_str() == "ended", what, it);
     }
+    if id.as_str() == "largest" {
+        return expect_largest(w, what, it);
+    }
     if id.as_str() == "started" {
         let n = w.jobs.values().filter(|j| j.starts > 0).count();
         let bound = num(word(it)) as usize;
@@ -687,6 +691,26 @@
     ok.then_some(()).ok_or(format!("of team {team}, class {class} {} of {} are served", count.0, count.1))
 }
 
+/// `expect largest least SHARE within S`: of each class's largest jobs, a quarter of those that were not cancelled, that
+/// share began so soon after their users first tried to submit them.
+fn expect_largest(w: &World, what: &str, it: &mut Words) -> Result<(), String> {
+    let (share, within) = (num(word(it)), secs(pairs(it)["within"]));
+    let mut classes: BTreeMap<&str, Vec<&Truth>> = BTreeMap::new();
+    for job in w.jobs.values().filter(|j| j.cancelled.is_none() && j.body.is_none()) {
+        classes.entry(&job.spec.class).or_default().push(job);
+    }
+    for (class, mut jobs) in classes {
+        jobs.sort_by_key(|j| std::cmp::Reverse(j.spec.tasks));
+        jobs.truncate(jobs.len().div_ceil(4));
+        let soon = |j: &&&Truth| j.began.zip(j.first_try).is_some_and(|(began, tried)| began <= tried + within);
+        let served = jobs.iter().filter(soon).count();
+        if what != "least" || (served as f64) < share * jobs.len() as f64 {
+            return Err(format!("of class {class} {served} of its {} largest jobs began in time", jobs.len()));
+        }
+    }
+    Ok(())
+}
+
 /// `expect when JOB LEAST MOST`, `expect when TEAM GPUS ZONE|any LEAST MOST`: the p50 that the
 /// leader answers, in seconds; `... error WORD`: why it can't be told.
 fn expect_when(w: &World, what: &str, it: &mut Words) -> Result<(), String> {
--- a/crates/hopyoke-world/src/worker.rs
+++ b/crates/hopyoke-world/src/worker.rs
@@ -415,6 +415,7 @@
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.starts += 1;
+        job.began.get_or_insert(self.now);
         let (spec, done, fails) = (job.spec.clone(), job.done[task.index as usize], job.fails);
         self.check_start(id, &task);
         if let Some(m) = self.machines.get_mut(id)
