Emulator: nothing on a machine that hangs goes on by timers

Cause: tasks of a gang that lost a peer, that saved or that waited for their gang exited on a machine that hung, which hides cancelled tasks that go on when it resumes. Change: one way for what happens on a machine, which waits until it goes on.

--- a/crates/hopyoke-world/src/worker.rs
+++ b/crates/hopyoke-world/src/worker.rs
@@ -178,6 +178,15 @@
         self.machines.get(id).map(|m| m.hung_until).filter(|t| *t > self.now)
     }
 
+    /// Something happens on a machine after `span`; on one that hangs by then, when it goes on.
+    fn on_machine(&mut self, id: &MachineId, span: Micros, step: impl FnOnce(&mut World) + 'static) {
+        let id = id.clone();
+        self.after(span, move |w| match w.hung(&id) {
+            Some(t) => w.on_machine(&id, t - w.now, step),
+            None => step(w),
+        });
+    }
+
     /// Reports soon, because something has changed.
     pub fn report_soon(&mut self, id: &MachineId) {
         let now = self.now;
@@ -393,7 +402,7 @@
         let session = m.session;
         let me = id.clone();
         self.report_soon(id);
-        self.after(fetch, move |w| w.fetched(&me, session, task, attempt));
+        self.on_machine(id, fetch, move |w| w.fetched(&me, session, task, attempt));
     }
 
     fn live(&mut self, id: &MachineId, session: u64, key: &(TaskId, Attempt)) -> Option<&mut Task> {
@@ -405,10 +414,6 @@
     }
 
     fn fetched(&mut self, id: &MachineId, session: u64, task: TaskId, attempt: Attempt) {
-        if let Some(t) = self.hung(id) {
-            let id = id.clone();
-            return self.at(t, move |w| w.fetched(&id, session, task, attempt));
-        }
         let key = (task.clone(), attempt);
         if self.live(id, session, &key).is_none_or(|t| t.state != TaskState::Fetching) {
             return;
@@ -436,7 +441,7 @@
             }
             let wait = self.cfg.gang_wait;
             let (me, k) = (id.clone(), key.clone());
-            self.after(wait, move |w| {
+            self.on_machine(id, wait, move |w| {
                 if w.live(&me, session, &k).is_some_and(|t| t.state == TaskState::Waiting) {
                     w.exit(&me, &k, ExitReason::Incomplete, false);
                 }
@@ -467,14 +472,10 @@
         let left = Micros((left.0 as f64 * slowest) as u64);
         let (me, k) = (id.clone(), key.clone());
         self.ends_in(&key.0, left);
-        self.after(left, move |w| w.complete(&me, session, &k));
+        self.on_machine(id, left, move |w| w.complete(&me, session, &k));
     }
 
     fn complete(&mut self, id: &MachineId, session: u64, key: &(TaskId, Attempt)) {
-        if let Some(t) = self.hung(id) {
-            let (id, key) = (id.clone(), key.clone());
-            return self.at(t, move |w| w.complete(&id, session, &key));
-        }
         if self.live(id, session, key).is_none_or(|t| t.state != TaskState::Running) {
             return;
         }
@@ -537,7 +538,7 @@
             if matches!(running, TaskState::Running | TaskState::Saving) {
                 let s = m_session(self, &m);
                 let wait = Micros(self.random(0, peer.0));
-                self.after(wait, move |w| {
+                self.on_machine(&m.clone(), wait, move |w| {
                     if w.live(&m, s, &key).is_some() {
                         w.exit(&m, &key, ExitReason::PeersGone, false);
                     }
@@ -564,7 +565,7 @@
         let progress = self.now - self.machines[id].tasks[&key].started;
         let me = id.clone();
         self.report_soon(id);
-        self.after(Micros::from_secs_f64(spec.save_s), move |w| {
+        self.on_machine(id, Micros::from_secs_f64(spec.save_s), move |w| {
             if w.live(&me, session, &key).is_none_or(|t| t.state != TaskState::Saving) {
                 return;
             }
