--- a/crates/hopyoke-core/tests/direct_orders.rs
+++ b/crates/hopyoke-core/tests/direct_orders.rs
@@ -3,7 +3,7 @@
 use hopyoke_core::{Action, Config, Core, JobRecord, RegisterPage, Team};
 use hopyoke_types::{Attempt, JobId, MachineId, Mark, Micros, Token};
 use hopyoke_wire::cloud::MachineType;
-use hopyoke_wire::user::{JobKind, JobSpec, Priority};
+use hopyoke_wire::user::JobSpec;
 use hopyoke_wire::worker::{Order, Report};
 use std::collections::BTreeMap;
 
@@ -40,26 +40,11 @@
 
 fn spec() -> JobSpec {
     JobSpec {
-        id: JobId::new("req-1"),
-        class: "any".into(),
-        team: "crew".into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks: 1,
         cpus: 6.0,
         gpus: 1.0,
         memory_gb: 20.0,
-        image: "img-1".into(),
         image_gb: 2.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
+        ..JobSpec::plain(JobId::new("req-1"), "any", "crew", "img-1")
     }
 }
 
--- a/crates/hopyoke-world/src/script.rs
+++ b/crates/hopyoke-world/src/script.rs
@@ -230,20 +230,14 @@
             w.submit(id);
         }
         "many" => {
-            let (n, kind) = (num(word(&mut it)) as usize, word(&mut it));
-            let p = pairs(&mut it);
-            for _ in 0..n {
-                let id = JobId::new(&format!("req-{:06}", 1000 + w.jobs.len()));
-                w.jobs.insert(id.clone(), job(&id, kind, &p));
+            let n = num(word(&mut it)) as u64;
+            for id in new_jobs(w, n, &mut it) {
                 w.submit(id);
             }
         }
         "stream" => {
             let (n, rate, cancelled) = (num(word(&mut it)) as u64, num(word(&mut it)), num(word(&mut it)) as u64);
-            let (kind, p) = (word(&mut it), pairs(&mut it));
-            for k in 0..n {
-                let id = JobId::new(&format!("req-{:06}", 1000 + w.jobs.len()));
-                w.jobs.insert(id.clone(), job(&id, kind, &p));
+            for (k, id) in (0..).zip(new_jobs(w, n, &mut it)) {
                 let begins = Micros::from_secs_f64(k as f64 / rate);
                 if k * cancelled % 100 < cancelled {
                     let (id, later) = (id.clone(), Micros(w.random(500_000, 10_000_000)));
@@ -440,6 +434,17 @@
     }
 }
 
+/// So many jobs of one kind that nobody has submitted yet: `KIND KEY VALUE ...`.
+fn new_jobs(w: &mut World, n: u64, it: &mut Words) -> Vec<JobId> {
+    let (kind, p) = (word(it), pairs(it));
+    let add = |_| {
+        let id = JobId::new(&format!("req-{:06}", 1000 + w.jobs.len()));
+        w.jobs.insert(id.clone(), job(&id, kind, &p));
+        id
+    };
+    (0..n).map(add).collect()
+}
+
 /// When a trouble is over: `for S`, and what is said besides.
 fn until(w: &World, it: &mut Words) -> Micros {
     w.now + secs(pairs(it)["for"])
--- a/crates/hopyoke/src/lead.rs
+++ b/crates/hopyoke/src/lead.rs
@@ -249,12 +249,13 @@
 
 async fn keep_lease(node: Rc<Node>, lease: u64, right: Rc<RefCell<Entitlement>>, lost: Bell, cancel: Cancel) {
     let ttl = node.settings.leader_ttl();
+    let longest = Micros(ttl.0 / 2).max(RENEWAL);
     let mut patience = RENEWAL;
     loop {
         let sent = runtime::now();
         match node.state.vital().renew(lease, patience).await {
             Ok(()) => {
-                patience = (runtime::now() - sent).times(2).clamp(RENEWAL, Micros(ttl.0 / 2).max(RENEWAL));
+                patience = (runtime::now() - sent).times(2).clamp(RENEWAL, longest);
                 right.borrow_mut().renewed(sent);
                 lost.ring();
                 runtime::sleep(Micros(ttl.0 / 4)).await;
@@ -268,7 +269,7 @@
             Err(e) => {
                 debug!(error = %e, "lease not renewed");
                 if e == StateError::Unknown {
-                    patience = patience.times(2).min(Micros(ttl.0 / 2).max(RENEWAL));
+                    patience = patience.times(2).min(longest);
                 }
                 runtime::sleep(Micros::from_millis(250)).await;
             }
