--- a/crates/hopyoke-admission/src/lib.rs
+++ b/crates/hopyoke-admission/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`turns`]: the order inside one tenant. Which tenant comes before which is decided elsewhere; the
 //! places that a tenant's jobs hold together among all others stay the same. [`is_due`]: which gangs need
-//! so much at once that turns don't serve them; [`is_overdue`]: which other jobs are at least to begin. [`KeptRoom`]: for how long room is kept for those.
+//! so much at once that turns don't serve them; [`is_overdue`]: which other jobs are at least to begin. [`KeptRoom`]: for
+//! how long room is kept for those.
 
 mod kept;
 mod turns;
--- a/crates/hopyoke-core/src/plan/each.rs
+++ b/crates/hopyoke-core/src/plan/each.rs
@@ -124,9 +124,13 @@
         if needs.suspect || self.check(job, index) != Verdict::StartAnew {
             return;
         }
+        // Most that are overdue wait for their team's limit: no bins are looked at for them.
+        if !plan.charge(&needs, 1, &self.cfg.teams) {
+            return;
+        }
         let mut candidates = self.candidates(&needs, plan, None);
         let bin = candidates.best(&needs, plan, |b| plan.score(&needs, b)).filter(|b| plan.bins[*b].ready);
-        let Some(bin) = bin.filter(|_| plan.charge(&needs, 1, &self.cfg.teams)) else { return };
+        let Some(bin) = bin else { return plan.refund(&needs, 1) };
         let image = plan.has_image(&plan.bins[bin], needs.image);
         plan.take(bin, &mut needs);
         plan.begun.insert(id.clone(), (index, plan.bins[bin].zone));
