--- a/crates/hopyoke-standin/tests/close_looks/main.rs
+++ b/crates/hopyoke-standin/tests/close_looks/main.rs
@@ -483,3 +483,28 @@
         }
     });
 }
+
+/// The state service answers everything after 1.7 s, and the leader ends: another one leads, and users get answers. (Guards
+/// `forgotten`: reads wait for 1.5 s, so nobody learned who leads, and nothing was known of any job for as long as the
+/// service was slow; docs/incidents/slow-state-no-leader.md.)
+#[test]
+fn a_slow_state_service_finds_a_leader() {
+    on_runtime(async {
+        let mut site = site("slow-no-leader").await;
+        let users = Users::new(&site);
+        let slow = |_: &runtime::http::Request| (Micros::ZERO, ms(1_700));
+        *site.state.lag.borrow_mut() = Some(Box::new(slow));
+        let former = leader(&site).expect("a leader");
+        site.kill_controller(former);
+        site.start_controller(former).expect("a controller");
+        let job = users.job(1, 0.1);
+        let end = runtime::now() + Micros::from_secs(40);
+        for node in (0..NODES).cycle() {
+            if users.ask(&job, node, Request::Poll).await.is_final() {
+                return;
+            }
+            assert!(runtime::now() < end, "nothing was known of a job for 40 s");
+            runtime::sleep(ms(200)).await;
+        }
+    });
+}
