--- a/crates/hopyoke-world/src/controller.rs
+++ b/crates/hopyoke-world/src/controller.rs
@@ -687,7 +687,11 @@
         }
         if self.hits(self.late_commands) {
             let late = Micros(self.random(2_000_000, 16_000_000));
-            return self.after(late, move |w| w.direct_late(machine, token, session, orders));
+            // It reaches the worker, whoever leads by now; nobody waits for the answer.
+            return self.on_machine(&machine.clone(), late, move |w| {
+                w.log(|| format!("{machine} takes orders of token {} late", token.0));
+                w.direct(&machine, token, session, orders);
+            });
         }
         let Some((executed, report)) = self.direct(&machine, token, session, orders) else { return };
         let leaves = self.machines.get(&machine).map_or(self.now, |m| m.answers_held_until);
@@ -707,21 +711,6 @@
         });
     }
 
-    /// Orders that were held up on their way reach the worker, whoever leads by now. Nobody waits for the answer.
-    fn direct_late(
-        &mut self,
-        machine: MachineId,
-        token: Token,
-        session: u64,
-        orders: Vec<hopyoke_wire::worker::Order>,
-    ) {
-        if let Some(t) = self.hung(&machine) {
-            return self.at(t, move |w| w.direct_late(machine, token, session, orders));
-        }
-        self.log(|| format!("{machine} takes orders of token {} late", token.0));
-        self.direct(&machine, token, session, orders);
-    }
-
     fn commit(&mut self, i: usize, process: u64, token: Token, batch: Batch) {
         let mut when = vec![("leader".to_owned(), token.0)];
         let mut apply = Vec::new();
--- a/crates/hopyoke-world/src/worker.rs
+++ b/crates/hopyoke-world/src/worker.rs
@@ -179,7 +179,7 @@
     }
 
     /// Something happens on a machine after `span`; on one that hangs by then, when it goes on.
-    fn on_machine(&mut self, id: &MachineId, span: Micros, step: impl FnOnce(&mut World) + 'static) {
+    pub(crate) fn on_machine(&mut self, id: &MachineId, span: Micros, step: impl FnOnce(&mut World) + 'static) {
         let id = id.clone();
         self.after(span, move |w| match w.hung(&id) {
             Some(t) => w.on_machine(&id, t - w.now, step),
