--- a/crates/hopyoke-emulator/src/cluster.rs
+++ b/crates/hopyoke-emulator/src/cluster.rs
@@ -166,6 +166,37 @@
         }
     }
 
+    /// Freezes a controller (`SIGSTOP`): its clocks run on.
+    ///
+    /// # Errors
+    /// If the signal can't be sent.
+    pub fn freeze_controller(&self, i: usize) -> io::Result<()> {
+        self.signal(i, "-STOP")
+    }
+
+    /// Lets a frozen controller go on.
+    ///
+    /// # Errors
+    /// If the signal can't be sent.
+    pub fn thaw_controller(&self, i: usize) -> io::Result<()> {
+        self.signal(i, "-CONT")
+    }
+
+    fn signal(&self, i: usize, signal: &str) -> io::Result<()> {
+        let Some(child) = &self.children[i] else {
+            return Ok(());
+        };
+        let status = Command::new("kill")
+            .arg(signal)
+            .arg(child.id().to_string())
+            .status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other(format!("kill {signal}: {status}")))
+        }
+    }
+
     /// A controller's CPU time so far, in seconds; 0 if it does not run.
     pub fn cpu_time_s(&self, i: usize) -> f64 {
         let Some(child) = &self.children[i] else {
--- a/crates/hopyoke-emulator/tests/concurrent_reads/main.rs
+++ b/crates/hopyoke-emulator/tests/concurrent_reads/main.rs
@@ -4,6 +4,7 @@
 
 mod history;
 mod setup;
+mod slow_store;
 mod users;
 
 use history::{Answer, Observation, Request};
