Simulator: nodes wait for the store by the shared estimator, and renew while they read the records

Symptom: with a store that takes 1.8 s nobody led in virtual time from the leader's end until the store was fast again (scenario slow_store_leader_ends, red before: req-3 done at 118.3 s in place of 108 s). Cause: fixed waits of 1.5 s and 2.5 s, users' polls answered by two reads in turn, campaigns repeated without waiting for the one under way, and no renewal until the records were read. Mend: StoreLatency and TimeoutPolicy decide both; reads side by side as the daemon does them, in a module of their own.

Scheduler: probes that failed while nobody was heard give no machine up

Trace: a leader that reaches no worker probes its machines; when the cut ends the first one reports, and the other, which the lagging list lacks, is given up within a second, with its tasks. Cause: the failed probe says that nobody was reachable, not that this machine is gone. Mend: after a time without any heartbeat, two heartbeat intervals are left for machines to find the leader.

--- a/crates/hopyoke-consistency/src/latency.rs
+++ b/crates/hopyoke-consistency/src/latency.rs
@@ -8,6 +8,8 @@
 //! What a request serves bounds its timeout ([`TimeoutBounds`]): a lease, a leader's term, or a client's deadline. A
 //! service that is silent from the start is no slow one: its first timeout is the floor, as if nothing had been measured.
 
+use crate::deadline::USER_WRITE_TIMEOUT;
+use crate::leader_lease::{MIN_LEASE_TIMEOUT, lease_timeouts};
 use hopyoke_types::Micros;
 
 /// A measurement that is older than this says nothing about the latency now.
@@ -53,6 +55,53 @@
     }
 }
 
+/// What a request to the key-value store serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// The leader lease: elections, renewals, failover.
+    Lease,
+    /// A leader's term, or upkeep.
+    Term,
+    /// A user's request.
+    User,
+}
+
+/// Bounds for all requests of a node.
+#[derive(Debug, Clone, Copy)]
+pub struct TimeoutPolicy {
+    lease: TimeoutBounds,
+    term_ceiling: Micros,
+}
+
+impl TimeoutPolicy {
+    /// `ttl`: the time to live of the leader lease; `watch_wait`: the longest wait of the leader's watch. A leader that has
+    /// had no news for both together may not act, so nothing of its term is waited for longer.
+    #[must_use]
+    pub fn new(ttl: Micros, watch_wait: Micros) -> TimeoutPolicy {
+        TimeoutPolicy {
+            lease: lease_timeouts(ttl),
+            term_ceiling: watch_wait + ttl,
+        }
+    }
+
+    /// The bounds of one request. A write is given half of its user's time at first, so that a peer can still be asked
+    /// after a store that is silent.
+    #[must_use]
+    pub fn bounds(&self, kind: RequestKind, purpose: Purpose) -> TimeoutBounds {
+        let floor = match kind {
+            RequestKind::Write => Micros(USER_WRITE_TIMEOUT.0 / 2),
+            RequestKind::Lease => MIN_LEASE_TIMEOUT,
+            RequestKind::Read | RequestKind::Watch => self.lease.floor,
+        };
+        let ceiling = match purpose {
+            Purpose::Lease => self.lease.ceiling,
+            Purpose::Term => self.term_ceiling,
+            Purpose::User => USER_WRITE_TIMEOUT,
+        };
+        TimeoutBounds::new(floor, ceiling)
+    }
+}
+
 /// What was measured.
 #[derive(Debug, Clone, Copy)]
 struct Estimate {
--- a/crates/hopyoke-consistency/src/lib.rs
+++ b/crates/hopyoke-consistency/src/lib.rs
@@ -12,9 +12,11 @@
 //!   what is new.
 //! - [`Tombstones`], at the leader: jobs that are over, for as long as older events of them may still arrive.
 //! - [`read_index`]: linearizable reads by waiting callers, batched into one query.
+//! - [`deadline`]: how the time that a user waits for an answer is spent.
 //! - [`latency`]: how long to wait for the key-value store's answers, by the latency measured.
 
 mod cancellation_log;
+pub mod deadline;
 mod delivery;
 pub mod latency;
 pub mod leader_lease;
--- a/crates/hopyoke-scheduler/src/lib.rs
+++ b/crates/hopyoke-scheduler/src/lib.rs
@@ -203,7 +203,7 @@
             tombstones: Tombstones::default(),
             reconciliation: Reconciliation::new(now, false),
             probes: FailoverProbes::default(),
-            receive_health: ReceiveHealth::default(),
+            receive_health: ReceiveHealth::of_new_leader(now),
             partitioned_zones: PartitionedZones::default(),
             commands_due: BTreeSet::new(),
             plan_schedule: PlanSchedule::new(tuning.plan_gap_least),
--- a/crates/hopyoke-scheduler/src/reconcile/heartbeats.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/heartbeats.rs
@@ -113,6 +113,8 @@
         if !m.is_registered {
             self.registry.request_registration(id);
         }
+        self.receive_health
+            .heartbeat_received(self.cfg.heartbeat_interval, now);
         m.last_seen = now;
         m.unreachable = false;
         m.presumed_deleted = false;
--- a/crates/hopyoke-scheduler/src/reconcile/unresponsive.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/unresponsive.rs
@@ -14,9 +14,36 @@
 pub(crate) struct ReceiveHealth {
     /// Until then missing heartbeats are no evidence against machines.
     overloaded_until: Micros,
+    /// When the last heartbeat of any machine was received.
+    heard_at: Micros,
+    /// After a time without any, machines are given until then to find this node again.
+    contact_settled_at: Micros,
 }
 
 impl ReceiveHealth {
+    /// That of a leader elected at `now`.
+    pub(crate) fn of_new_leader(now: Micros) -> ReceiveHealth {
+        ReceiveHealth {
+            heard_at: now,
+            ..ReceiveHealth::default()
+        }
+    }
+
+    /// A heartbeat was received. The first one after a time in which no machine was heard at all says that this node was
+    /// cut off: what is known of the others' silence is from that time. (Guards against giving up machines that are about
+    /// to report: scenario unlisted_machines_kept_any_order.)
+    pub(crate) fn heartbeat_received(&mut self, heartbeat_interval: Micros, now: Micros) {
+        let two_intervals = heartbeat_interval.times(2);
+        if now > self.heard_at + two_intervals {
+            self.contact_settled_at = now + two_intervals;
+        }
+        self.heard_at = now;
+    }
+
+    fn is_contact_settled(&self, now: Micros) -> bool {
+        now >= self.contact_settled_at
+    }
+
     pub(crate) fn is_overloaded(&self, now: Micros) -> bool {
         now < self.overloaded_until
     }
@@ -185,7 +212,9 @@
             && !self.is_zone_partitioned(&m.zone)
             && !fleet.is_overloaded;
         let is_unlisted_and_silent = self.is_unlisted(m)
-            && ((m.unreachable && (fleet.most_report || !fleet.is_overloaded))
+            && ((m.unreachable
+                && self.receive_health.is_contact_settled(now)
+                && (fleet.most_report || !fleet.is_overloaded))
                 || (fleet.most_report && silent_for >= unlisted_after));
         is_last_unreconciled || is_silent || is_unlisted_and_silent
     }
--- a/crates/hopyoke-simulator/src/api.rs
+++ b/crates/hopyoke-simulator/src/api.rs
@@ -1,8 +1,13 @@
 //! The users' API of the nodes, as the daemon has it: any node answers by itself, from its terminal states, its
 //! scheduler or the records.
 
-use super::kv_store::{Entry, Mutation, Value};
+use super::kv_store::{Mutation, Value};
+use super::lookup::Lookup;
 use super::{Host, Simulation};
+use hopyoke_consistency::deadline::{
+    TRANSFER_MARGIN, USER_POLL_TIMEOUT, USER_WRITE_TIMEOUT, leaders_share,
+};
+use hopyoke_consistency::latency::RequestKind;
 use hopyoke_protocol::user::{JobSpec, JobState};
 use hopyoke_scheduler::{EndRecord, JobRecord, unschedulable_reason};
 use hopyoke_types::{JobId, Micros, ModRevision};
@@ -37,72 +42,88 @@
 /// What becomes of an answer, where it arrives.
 pub(crate) type Reply = Box<dyn FnOnce(&mut Simulation, Answer)>;
 
-/// A job's record, wherever it is.
-enum Lookup {
-    Unfinished(JobRecord, ModRevision),
-    Finished(JobState),
-    Missing,
-}
-
-impl Lookup {
-    fn answer(&self) -> Answer {
-        match self {
-            Lookup::Unfinished(..) => Answer::Unfinished,
-            Lookup::Finished(end) => Answer::Finished(*end),
-            Lookup::Missing => Answer::Missing,
-        }
-    }
-}
-
 /// A user's request that a node forwards to a peer.
 struct Forwarded {
     node: usize,
     peer: usize,
     id: JobId,
     request: Request,
-    /// How long the node waits for the peer's answer.
-    timeout: Micros,
+    /// Until when the node waits for the peer's answer.
+    deadline: Micros,
 }
 
-// Times that the daemon sets for its links, its replica of the jobs and its records.
-const LEADER_REQUEST_TIMEOUT: Micros = Micros::from_millis(500);
-const PEER_REQUEST_TIMEOUT: Micros = Micros::from_millis(1_800);
+/// A submission that was admitted.
+struct Submission {
+    id: JobId,
+    spec: JobSpec,
+    is_workflow_step: bool,
+    /// When its user no longer waits.
+    deadline: Micros,
+}
+
+// Times that the daemon sets for its replica of the jobs and for its users.
 const READ_BATCH_WINDOW: Micros = Micros::from_millis(40);
 const RETRY_AFTER: Micros = Micros::from_secs(1);
-const CANCEL_RETRY_LIMIT: Micros = Micros::from_secs(2);
 
 impl Simulation {
     /// A user's request at a node. Where no answer can be had nothing is replied.
     pub(crate) fn take_request(&mut self, i: usize, id: JobId, request: Request, reply: Reply) {
+        let user_timeout = if request == Request::Poll {
+            USER_POLL_TIMEOUT
+        } else {
+            USER_WRITE_TIMEOUT
+        };
+        let deadline = self.now + user_timeout - TRANSFER_MARGIN;
         let leader = self.nodes[i]
             .observed_leader
             .filter(|l| *l != i && self.nodes[i].leadership.is_none());
-        if let (Request::Poll, Some(peer)) = (request, leader) {
+        if let (Request::Poll, Some(peer)) = (request, leader)
+            && let Some(timeout) = self.leaders_share(i, peer, deadline)
+        {
             let forwarded = Forwarded {
                 node: i,
                 peer,
                 id: id.clone(),
                 request,
-                timeout: LEADER_REQUEST_TIMEOUT,
+                deadline: self.now + timeout,
             };
             // Without the leader's answer the node's own.
             return self.forward(forwarded, reply, move |w, reply| {
-                w.own_or_peers_answer(i, id, request, reply);
+                w.own_or_peers_answer(i, id, request, deadline, reply);
             });
         }
-        self.own_or_peers_answer(i, id, request, reply);
+        self.own_or_peers_answer(i, id, request, deadline, reply);
+    }
+
+    /// How long node `i` waits for the leader's answer to a poll, as the daemon does.
+    fn leaders_share(&self, i: usize, leader: usize, deadline: Micros) -> Option<Micros> {
+        let latency = self.expected_latency(i, RequestKind::Read);
+        leaders_share(
+            latency.unwrap_or_default(),
+            deadline - self.now,
+            self.reaches_store(leader),
+        )
+    }
+
+    fn reaches_store(&self, i: usize) -> bool {
+        let partition = self.partition_between(Host::Node(i), Host::KvStore);
+        !self.store_rejects(i) && partition.is_none()
     }
 
     /// A node that can't reach the store forwards the request to a peer that can.
-    fn own_or_peers_answer(&mut self, i: usize, id: JobId, request: Request, reply: Reply) {
-        let reaches = |w: &Simulation, j: usize| {
-            !w.store_rejects(j) && w.partition_between(Host::Node(j), Host::KvStore).is_none()
-        };
-        if reaches(self, i) {
-            return self.own_answer(i, id, request, reply);
+    fn own_or_peers_answer(
+        &mut self,
+        i: usize,
+        id: JobId,
+        request: Request,
+        deadline: Micros,
+        reply: Reply,
+    ) {
+        if self.reaches_store(i) {
+            return self.own_answer(i, id, request, deadline, reply);
         }
-        let peer =
-            (0..self.nodes.len()).find(|j| *j != i && self.nodes[*j].up && reaches(self, *j));
+        let is_reachable = |j: &usize| *j != i && self.nodes[*j].up && self.reaches_store(*j);
+        let peer = (0..self.nodes.len()).find(is_reachable);
         let Some(peer) = peer else {
             return reply(self, Answer::RetryAfter(RETRY_AFTER));
         };
@@ -111,7 +132,7 @@
             peer,
             id,
             request,
-            timeout: PEER_REQUEST_TIMEOUT,
+            deadline,
         };
         self.forward(forwarded, reply, |w, reply| {
             reply(w, Answer::RetryAfter(RETRY_AFTER));
@@ -130,12 +151,12 @@
             peer,
             id,
             request,
-            timeout,
+            deadline,
         } = forwarded;
         let process = self.nodes[i].process;
         let reply = Rc::new(RefCell::new(Some(reply)));
         let late = reply.clone();
-        self.timer(i, timeout, move |w| {
+        self.timer(i, deadline - self.now, move |w| {
             if w.alive(i, process)
                 && let Some(reply) = late.take()
             {
@@ -159,30 +180,41 @@
                     }
                 });
             });
-            w.own_answer(peer, id, request, back);
+            w.own_answer(peer, id, request, deadline, back);
         });
     }
 
     /// What the node itself answers.
-    fn own_answer(&mut self, i: usize, id: JobId, request: Request, reply: Reply) {
+    fn own_answer(
+        &mut self,
+        i: usize,
+        id: JobId,
+        request: Request,
+        deadline: Micros,
+        reply: Reply,
+    ) {
         let process = self.nodes[i].process;
         match request {
-            Request::Submit => self.submit_at(i, process, id, reply),
-            Request::Poll => self.poll_at(i, process, id, reply),
-            Request::Cancel => {
-                let until = self.now + CANCEL_RETRY_LIMIT;
-                self.cancel_at(i, process, id, until, reply);
-            }
+            Request::Submit => self.submit_at(i, process, id, deadline, reply),
+            Request::Poll => self.poll_at(i, process, id, deadline, reply),
+            Request::Cancel => self.cancel_at(i, process, id, deadline, reply),
         }
     }
 
     /// What is known of a job: at the leader by a linearizable read of its changes, else by its record.
-    fn poll_at(&mut self, i: usize, process: u64, id: JobId, reply: Reply) {
+    fn poll_at(&mut self, i: usize, process: u64, id: JobId, deadline: Micros, reply: Reply) {
         if let Some(end) = self.nodes[i].terminal_states.get(&id).copied() {
             return reply(self, Answer::Finished(end));
         }
-        if self.leadership(i, process).is_none() {
-            return self.look_up(i, process, id, move |w, found| reply(w, found.answer()));
+        let leads = self.leadership(i, process).is_some();
+        let is_known = leads
+            && self
+                .leadership(i, process)
+                .is_some_and(|l| l.scheduler.jobs.contains_key(&id));
+        if !leads || (!is_known && self.must_read_side_by_side(i, deadline)) {
+            return self.look_up(i, process, id, deadline, move |w, found| {
+                reply(w, found.answer())
+            });
         }
         // Whatever was written before the poll arrived is in the scheduler once a read that was sent
         // afterwards is answered; one serves all that wait.
@@ -204,103 +236,21 @@
                     if w.leadership(i, process).is_none() {
                         return;
                     }
+                    w.store_answered(i, RequestKind::Watch, sent);
                     w.apply_record_changes(i, process, changes, sent);
                     if w.leadership(i, process)
                         .is_some_and(|l| l.scheduler.jobs.contains_key(&id))
                     {
                         return reply(w, Answer::Unfinished);
                     }
-                    w.look_up_ended(i, process, id, reply);
+                    w.look_up_ended(i, process, id, deadline, reply);
                 });
             });
         });
     }
 
-    /// Reads the final state of a job that is not among the unfinished ones.
-    fn look_up_ended(&mut self, i: usize, process: u64, id: JobId, reply: Reply) {
-        if let Some(end) = self.nodes[i].terminal_states.get(&id).copied() {
-            return reply(self, Answer::Finished(end));
-        }
-        self.read(
-            i,
-            process,
-            format!("end/{id}"),
-            move |w, found| match found {
-                Some(Entry {
-                    value: Value::End(end),
-                    mod_revision,
-                    ..
-                }) => {
-                    w.found_ended(i, &id, end.state, ModRevision(mod_revision));
-                    reply(w, Answer::Finished(end.state));
-                }
-                _ => w.look_up(i, process, id, move |w, found| reply(w, found.answer())),
-            },
-        );
-    }
-
-    /// A record only ever moves from `job/` to `end/`: read in this order it can't be missed.
-    fn look_up(
-        &mut self,
-        i: usize,
-        process: u64,
-        id: JobId,
-        then: impl FnOnce(&mut Simulation, Lookup) + 'static,
-    ) {
-        if let Some(end) = self.nodes[i].terminal_states.get(&id).copied() {
-            return then(self, Lookup::Finished(end));
-        }
-        self.read(i, process, format!("job/{id}"), move |w, found| {
-            if let Some(Entry {
-                value: Value::Job(record),
-                mod_revision,
-                ..
-            }) = found
-            {
-                return then(w, Lookup::Unfinished(record, ModRevision(mod_revision)));
-            }
-            w.read(
-                i,
-                process,
-                format!("end/{id}"),
-                move |w, found| match found {
-                    Some(Entry {
-                        value: Value::End(end),
-                        mod_revision,
-                        ..
-                    }) => {
-                        w.found_ended(i, &id, end.state, ModRevision(mod_revision));
-                        then(w, Lookup::Finished(end.state));
-                    }
-                    _ => then(w, Lookup::Missing),
-                },
-            );
-        });
-    }
-
-    /// Reads a key; there is no response from a store that rejects it.
-    fn read(
-        &mut self,
-        i: usize,
-        process: u64,
-        key: String,
-        then: impl FnOnce(&mut Simulation, Option<Entry>) + 'static,
-    ) {
-        self.send(Host::Node(i), Host::KvStore, move |w| {
-            if w.store_rejects(i) || !w.store_accepts(0) {
-                return;
-            }
-            let found = w.kv_store.keys.get(&key).cloned();
-            w.send(Host::KvStore, Host::Node(i), move |w| {
-                if w.alive(i, process) {
-                    then(w, found);
-                }
-            });
-        });
-    }
-
     /// Accepts a job, or says why not; a repeated submission gets what became of the first.
-    fn submit_at(&mut self, i: usize, process: u64, id: JobId, reply: Reply) {
+    fn submit_at(&mut self, i: usize, process: u64, id: JobId, deadline: Micros, reply: Reply) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -323,7 +273,7 @@
             .is_some()
         {
             // An accepted job stays accepted, whatever the catalog says now.
-            return self.look_up(i, process, id, move |w, found| match found {
+            return self.look_up(i, process, id, deadline, move |w, found| match found {
                 Lookup::Missing => reply(w, Answer::NeverRuns),
                 found => reply(w, found.answer()),
             });
@@ -336,24 +286,28 @@
                 .leadership(i, process)
                 .is_some_and(|l| l.scheduler.jobs.contains_key(&id));
             return if is_known {
-                self.poll_at(i, process, id, reply)
+                self.poll_at(i, process, id, deadline, reply)
             } else {
                 reply(self, Answer::RetryAfter(after))
             };
         }
-        self.accept_at_store(i, process, id, spec, flow, reply);
+        let submission = Submission {
+            id,
+            spec,
+            is_workflow_step: flow,
+            deadline,
+        };
+        self.accept_at_store(i, process, submission, reply);
     }
 
     /// Writes the record of a submitted job, unless the store has one or the job is over.
-    fn accept_at_store(
-        &mut self,
-        i: usize,
-        process: u64,
-        id: JobId,
-        spec: JobSpec,
-        is_workflow_step: bool,
-        reply: Reply,
-    ) {
+    fn accept_at_store(&mut self, i: usize, process: u64, submission: Submission, reply: Reply) {
+        let Submission {
+            id,
+            spec,
+            is_workflow_step,
+            deadline,
+        } = submission;
         self.send(Host::Node(i), Host::KvStore, move |w| {
             if w.store_rejects(i) || !w.store_accepts(1) {
                 return;
@@ -373,7 +327,7 @@
                 _ if !w.alive(i, process) => {}
                 Ok(_) => reply(w, Answer::Unfinished),
                 // Accepted by an earlier try. It can't have vanished.
-                Err(_) => w.look_up(i, process, id, move |w, found| match found {
+                Err(_) => w.look_up(i, process, id, deadline, move |w, found| match found {
                     Lookup::Missing => reply(w, Answer::RetryAfter(RETRY_AFTER)),
                     found => reply(w, found.answer()),
                 }),
@@ -381,10 +335,10 @@
         });
     }
 
-    /// Moves the job's record to its final place; again until a while has passed, for it may change meanwhile.
-    fn cancel_at(&mut self, i: usize, process: u64, id: JobId, until: Micros, reply: Reply) {
+    /// Moves the job's record to its final place; again until its user no longer waits, for it may change meanwhile.
+    fn cancel_at(&mut self, i: usize, process: u64, id: JobId, deadline: Micros, reply: Reply) {
         let job = id.clone();
-        self.look_up(i, process, job, move |w, found| {
+        self.look_up(i, process, job, deadline, move |w, found| {
             let Lookup::Unfinished(record, mod_revision) = found else {
                 return reply(w, found.answer());
             };
@@ -410,7 +364,7 @@
                         w.found_ended(i, &id, end.state, ModRevision(mod_revision));
                         reply(w, Answer::Finished(end.state));
                     }
-                    Err(_) if w.now < until => w.cancel_at(i, process, id, until, reply),
+                    Err(_) if w.now < deadline => w.cancel_at(i, process, id, deadline, reply),
                     Err(_) => reply(w, Answer::RetryAfter(RETRY_AFTER)),
                 });
             });
@@ -419,7 +373,13 @@
 
     /// A job's final record was written or read here, so that from now on users may observe it: before that a
     /// cancellation is logged for leaders that may not have seen it, and the node's own scheduler drops the job.
-    fn found_ended(&mut self, i: usize, job: &JobId, end: JobState, mod_revision: ModRevision) {
+    pub(crate) fn found_ended(
+        &mut self,
+        i: usize,
+        job: &JobId,
+        end: JobState,
+        mod_revision: ModRevision,
+    ) {
         self.log(|| format!("node {i} tells that {job} is {end:?}"));
         let now = self.now;
         let n = &mut self.nodes[i];
--- a/crates/hopyoke-simulator/src/lib.rs
+++ b/crates/hopyoke-simulator/src/lib.rs
@@ -11,6 +11,7 @@
 mod invariants;
 mod kv_store;
 mod limits;
+mod lookup;
 mod network;
 mod node;
 pub mod scenario;
--- a/crates/hopyoke-simulator/src/node/election.rs
+++ b/crates/hopyoke-simulator/src/node/election.rs
@@ -1,8 +1,10 @@
 //! Leader election: campaigns at the store, and stepping down.
 
+use super::OpenCampaign;
 use crate::kv_store::{Mutation, Value};
 use crate::{Host, Simulation};
 use hopyoke_admission::RequestPriority;
+use hopyoke_consistency::latency::{Purpose, RequestKind};
 use hopyoke_types::Micros;
 
 /// A campaign for the leader's key.
@@ -30,10 +32,20 @@
             let wait = n.campaign_not_before - sent;
             return self.timer(i, wait, move |w| w.campaign(i, process, is_first));
         }
+        if self.is_taking_over(i) || self.waits_for_campaign(i) {
+            let pause = Micros(self.random(200_000, 500_000));
+            return self.timer(i, pause, move |w| w.campaign(i, process, is_first));
+        }
         if let Err(wait) = self.acquire_request(i, RequestPriority::Critical) {
             return self.timer(i, wait, move |w| w.campaign(i, process, is_first));
         }
-        self.nodes[i].pending_campaigns += 1;
+        let timeout = self.store_timeout(i, RequestKind::Lease, Purpose::Lease);
+        let n = &mut self.nodes[i];
+        n.pending_campaigns += 1;
+        n.open_campaign = Some(OpenCampaign {
+            sent,
+            until: sent + timeout,
+        });
         let campaign = Campaign {
             node: i,
             process,
@@ -48,6 +60,32 @@
         self.timer(i, pause, move |w| w.campaign(i, process, is_first));
     }
 
+    /// The node has won a lease that is still valid, and reads the records.
+    pub(super) fn is_taking_over(&self, i: usize) -> bool {
+        let lease = self.nodes[i].acquired_lease;
+        lease.is_some_and(|l| self.now < l.until)
+    }
+
+    /// The answer to an earlier campaign may still come in time.
+    fn waits_for_campaign(&mut self, i: usize) -> bool {
+        let Some(open) = self.nodes[i].open_campaign else {
+            return false;
+        };
+        if self.now < open.until {
+            return true;
+        }
+        self.nodes[i].open_campaign = None;
+        self.store_timed_out(i, RequestKind::Lease, open.sent);
+        false
+    }
+
+    /// The node received the answer to its campaign.
+    pub(super) fn campaign_answered(&mut self, i: usize) {
+        if let Some(open) = self.nodes[i].open_campaign.take() {
+            self.store_answered(i, RequestKind::Lease, open.sent);
+        }
+    }
+
     /// Reads who leads, grants a lease, and writes the leader's key with a shard for each zone.
     fn campaign_at_store(&mut self, campaign: Campaign) {
         let Campaign {
@@ -89,6 +127,9 @@
         match self.transact(&[("leader".into(), mod_revision)], vec![put]) {
             // A leader's campaign stays pending as long as its process lives: it never grants lease support.
             Some(Ok(token)) => self.send(Host::KvStore, Host::Node(i), move |w| {
+                if w.alive(i, process) {
+                    w.campaign_answered(i);
+                }
                 w.lease_granted(i, process, lease, token, campaign.sent)
             }),
             Some(Err(_)) => self.send(Host::KvStore, Host::Node(i), completed),
@@ -102,6 +143,7 @@
     /// A campaign of the process can't succeed any more.
     fn campaign_completed(&mut self, i: usize, process: u64) {
         if self.alive(i, process) {
+            self.campaign_answered(i);
             let n = &mut self.nodes[i];
             n.pending_campaigns = n.pending_campaigns.saturating_sub(1);
         }
--- a/crates/hopyoke-simulator/src/node/failover.rs
+++ b/crates/hopyoke-simulator/src/node/failover.rs
@@ -1,6 +1,6 @@
 //! Failover: a new leader reads the registry and the jobs, and starts its scheduler.
 
-use super::{Leadership, WATCH_TIMEOUT};
+use super::{AcquiredLease, Leadership, WATCH_TIMEOUT};
 use crate::kv_store::{KvStore, Value};
 use crate::{Host, Simulation};
 use hopyoke_consistency::DeliveryCursors;
@@ -17,8 +17,7 @@
 struct RecordScan {
     lease: u64,
     token: u64,
-    /// How long the lease lasts, and when it was granted.
-    until: Micros,
+    /// When the lease was granted.
     granted_at: Micros,
     jobs: Vec<(JobId, JobRecord, ModRevision)>,
     registry: Vec<(String, ModRevision, Option<RegistryPage>)>,
@@ -88,10 +87,11 @@
         let reading = RecordScan {
             lease,
             token,
-            until,
             granted_at,
             ..RecordScan::default()
         };
+        self.nodes[i].acquired_lease = Some(AcquiredLease { lease, until });
+        self.renew_lease(i, process);
         self.read_records(i, process, reading);
     }
 
@@ -102,7 +102,7 @@
             if w.store_rejects(i) || !w.store_accepts(0) {
                 let again = Micros::from_millis(250);
                 return w.after(again, move |w| {
-                    if w.alive(i, process) && w.now < r.until && w.nodes[i].leadership.is_none() {
+                    if w.may_take_over(i, process, r.lease) {
                         w.read_records(i, process, r);
                     }
                 });
@@ -113,7 +113,7 @@
                 .map_or(RECORDS_PER_PAGE, |l| if l.unpaced { 200 } else { 400 });
             let more = r.take_page(&w.kv_store, page);
             w.send(Host::KvStore, Host::Node(i), move |w| {
-                if !w.alive(i, process) || w.nodes[i].leadership.is_some() || w.now >= r.until {
+                if !w.may_take_over(i, process, r.lease) {
                     return;
                 }
                 if more {
@@ -125,6 +125,15 @@
         });
     }
 
+    /// The node still holds the lease under which it reads the records, and does not lead yet.
+    fn may_take_over(&self, i: usize, process: u64, lease: u64) -> bool {
+        let node = &self.nodes[i];
+        self.alive(i, process)
+            && node.leadership.is_none()
+            && node.acquired_lease.is_some_and(|l| l.lease == lease)
+            && self.is_taking_over(i)
+    }
+
     /// Takes over with what was read: the scheduler starts to reconcile.
     fn failover(&mut self, i: usize, process: u64, r: RecordScan) {
         let (token, at, revision) = (r.token, r.granted_at, r.revision.unwrap_or_default());
@@ -145,8 +154,10 @@
             scheduler.run_times_loaded(key, Some(page));
         }
         scheduler.set_catalog(self.machine_types.clone());
+        let acquired = self.nodes[i].acquired_lease.take();
+        let until = acquired.map_or(Micros::ZERO, |l| l.until);
         let mut leader_lease =
-            LeaderLease::new(r.until, self.lease_ttl, WATCH_TIMEOUT, self.nodes.len());
+            LeaderLease::new(until, self.lease_ttl, WATCH_TIMEOUT, self.nodes.len());
         leader_lease.changes_received(at);
         scheduler.records_applied_to(revision, at);
         for id in self.nodes[i].cancellation_log.entries_after(revision) {
@@ -166,7 +177,6 @@
         self.nodes[i].leadership = Some(leadership);
         self.nodes[i].observed_leader = Some(i);
         self.deliver_heartbeats_held_for_leader();
-        self.renew_lease(i, process);
         self.watch(i, process);
         self.request_lease_support(i, process);
         self.tick(i, process);
--- a/crates/hopyoke-simulator/src/node/lease.rs
+++ b/crates/hopyoke-simulator/src/node/lease.rs
@@ -5,9 +5,9 @@
 use hopyoke_types::Micros;
 
 impl Simulation {
-    /// Renews the lease, four times in its time to live.
+    /// Renews the lease, four times in its time to live, from when it was won.
     pub(super) fn renew_lease(&mut self, i: usize, process: u64) {
-        let Some(lease) = self.leadership(i, process).map(|l| l.lease) else {
+        let Some(lease) = self.held_lease(i, process) else {
             return;
         };
         let pause = Micros(self.lease_ttl.0 / 4);
@@ -21,10 +21,21 @@
         }
     }
 
+    /// The lease under which the process leads, or reads the records.
+    fn held_lease(&mut self, i: usize, process: u64) -> Option<u64> {
+        if let Some(leadership) = self.leadership(i, process) {
+            return Some(leadership.lease);
+        }
+        if !self.alive(i, process) {
+            return None;
+        }
+        self.nodes[i].acquired_lease.map(|l| l.lease)
+    }
+
     /// Sends a renewal again until it is accepted. `sent`: when the first try was sent, from which the lease counts at the
     /// earliest.
     fn send_lease_renewal(&mut self, i: usize, process: u64, lease: u64, sent: Micros) {
-        if self.leadership(i, process).is_none_or(|l| l.lease != lease) {
+        if self.held_lease(i, process) != Some(lease) {
             return;
         }
         self.send(Host::Node(i), Host::KvStore, move |w| {
@@ -49,17 +60,29 @@
                 return;
             }
             w.send(Host::KvStore, Host::Node(i), move |w| {
-                let Some(leadership) = w.leadership(i, process) else {
-                    return;
-                };
-                if alive {
-                    leadership.leader_lease.lease_renewed(sent);
-                } else if leadership.lease == lease {
-                    w.nodes[i].leadership = None;
-                    w.log(|| format!("node {i} lost its lease"));
-                    w.campaign(i, process, false);
+                if w.held_lease(i, process) == Some(lease) {
+                    w.renewal_answered(i, process, sent, alive);
                 }
             });
         });
     }
+
+    /// The store answered a renewal of the lease that the process holds; `is_alive`: it has not expired.
+    fn renewal_answered(&mut self, i: usize, process: u64, sent: Micros, is_alive: bool) {
+        let until = sent + self.lease_ttl.less_drift();
+        match (self.leadership(i, process), is_alive) {
+            (Some(leadership), true) => leadership.leader_lease.lease_renewed(sent),
+            (Some(_), false) => {
+                self.nodes[i].leadership = None;
+                self.log(|| format!("node {i} lost its lease"));
+                self.campaign(i, process, false);
+            }
+            (None, true) => {
+                if let Some(acquired) = &mut self.nodes[i].acquired_lease {
+                    acquired.until = acquired.until.max(until);
+                }
+            }
+            (None, false) => self.nodes[i].acquired_lease = None,
+        }
+    }
 }
--- a/crates/hopyoke-simulator/src/node/mod.rs
+++ b/crates/hopyoke-simulator/src/node/mod.rs
@@ -9,10 +9,12 @@
 mod persist;
 mod record_watch;
 mod scheduling;
+mod store_latency;
 
 use crate::Host;
 use crate::Simulation;
 use crate::limits::NodeLimits;
+use hopyoke_consistency::latency::StoreLatency;
 use hopyoke_consistency::leader_lease::{LeaderLease, SUPPORT_DURATION};
 use hopyoke_consistency::{CancellationLog, DeliveryCursors};
 use hopyoke_protocol::user::JobState;
@@ -42,14 +44,36 @@
     takeover_not_before: Micros,
     /// It does not campaign at all before this: it has granted lease support, or stepped down.
     campaign_not_before: Micros,
+    /// A campaign whose answer is waited for: no other one begins meanwhile.
+    open_campaign: Option<OpenCampaign>,
+    /// The lease that it has won, while it reads the records.
+    acquired_lease: Option<AcquiredLease>,
     /// Campaigns whose outcome is unknown: they may succeed late.
     pending_campaigns: u32,
     /// Cancellations that this node has confirmed to users.
     pub(crate) cancellation_log: CancellationLog,
+    /// Latency of the store as this process has measured it.
+    pub(crate) store_latency: StoreLatency,
     /// Final states that it has written or read.
     pub(crate) terminal_states: BTreeMap<JobId, JobState>,
 }
 
+/// A campaign under way.
+#[derive(Debug, Clone, Copy)]
+struct OpenCampaign {
+    sent: Micros,
+    /// Until when its answer is waited for.
+    until: Micros,
+}
+
+/// A leader lease under which a node does not lead yet.
+#[derive(Debug, Clone, Copy)]
+struct AcquiredLease {
+    lease: u64,
+    /// Until when it is valid without a further renewal.
+    until: Micros,
+}
+
 /// What a node knows as the leader.
 pub(crate) struct Leadership {
     /// The real scheduler.
@@ -79,8 +103,11 @@
             observed_leader: None,
             takeover_not_before: Micros::ZERO,
             campaign_not_before: Micros::ZERO,
+            open_campaign: None,
+            acquired_lease: None,
             pending_campaigns: 0,
             cancellation_log: CancellationLog::new(CANCELLATION_LOG_CAPACITY),
+            store_latency: StoreLatency::default(),
             terminal_states: BTreeMap::new(),
         }
     }
@@ -101,9 +128,12 @@
         n.leadership = None;
         n.takeover_not_before = self.now + SUPPORT_DURATION.with_drift();
         n.campaign_not_before = Micros::ZERO;
+        n.open_campaign = None;
+        n.acquired_lease = None;
         n.pending_campaigns = 0;
         n.cancellation_log = CancellationLog::new(CANCELLATION_LOG_CAPACITY);
         n.terminal_states.clear();
+        n.store_latency = StoreLatency::default();
         let p = n.process;
         self.read_start_revision(i, p);
         let wait = Micros(self.random(1_000, 100_000));
--- a/crates/hopyoke-simulator/src/node/persist.rs
+++ b/crates/hopyoke-simulator/src/node/persist.rs
@@ -2,15 +2,13 @@
 
 use crate::kv_store::{Mutation, Value};
 use crate::{Host, Simulation};
+use hopyoke_consistency::latency::{Purpose, RequestKind};
 use hopyoke_protocol::user::JobState;
 use hopyoke_scheduler::{Batch, BatchError, Write};
-use hopyoke_types::{FencingToken, JobId, Micros, ModRevision};
+use hopyoke_types::{FencingToken, JobId, ModRevision};
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// A batch without a response within this has an unknown outcome.
-const BATCH_TIMEOUT: Micros = Micros::from_millis(2500);
-
 /// A compare-and-swap transaction: the revisions that keys must have, and what is done then.
 struct Transaction {
     compares: Vec<(String, u64)>,
@@ -104,6 +102,7 @@
     ) {
         let transaction = Transaction::of_batch(token, &batch);
         let (sent, changes) = (self.now, batch.changes());
+        let timeout = self.store_timeout(i, RequestKind::Write, Purpose::Term);
         if let Some(p) = &mut self.nodes[i].limits_of_node {
             p.admission.changes_written(changes, sent);
         }
@@ -122,13 +121,19 @@
             };
             w.send(Host::KvStore, Host::Node(i), move |w| {
                 // A late response is left to the timer, which may be late as well.
-                if w.now < sent + BATCH_TIMEOUT && answered.replace(false) {
+                if w.now < sent + timeout && answered.replace(false) {
+                    if w.alive(i, process) {
+                        w.store_answered(i, RequestKind::Write, sent);
+                    }
                     w.batch_completed(i, process, batch, result);
                 }
             });
         });
-        self.timer(i, BATCH_TIMEOUT, move |w| {
+        self.timer(i, timeout, move |w| {
             if timed_out.replace(false) {
+                if w.alive(i, process) {
+                    w.store_timed_out(i, RequestKind::Write, sent);
+                }
                 w.batch_completed(i, process, late, Err(BatchError::Unknown));
             }
         });
--- a/crates/hopyoke-simulator/src/node/record_watch.rs
+++ b/crates/hopyoke-simulator/src/node/record_watch.rs
@@ -3,6 +3,7 @@
 use super::WATCH_TIMEOUT;
 use crate::kv_store::Value;
 use crate::{Host, Simulation};
+use hopyoke_consistency::latency::{Purpose, RequestKind};
 use hopyoke_scheduler::JobRecord;
 use hopyoke_types::{JobId, Micros, ModRevision};
 
@@ -45,8 +46,10 @@
             w.watch_at_store(i, process, since, number, sent);
         });
         // An answer that got lost: ask again.
-        self.timer(i, WATCH_TIMEOUT + Micros::from_millis(1500), move |w| {
+        let timeout = self.store_timeout(i, RequestKind::Watch, Purpose::Term);
+        self.timer(i, WATCH_TIMEOUT + timeout, move |w| {
             if w.leadership(i, process).is_some_and(|l| l.watch == number) {
+                w.store_timed_out(i, RequestKind::Watch, sent);
                 w.watch(i, process);
             }
         });
@@ -79,6 +82,11 @@
             if w.leadership(i, process).is_none_or(|l| l.watch != number) {
                 return;
             }
+            // The store has waited for a change, nobody knows how long.
+            let now = w.now;
+            w.nodes[i]
+                .store_latency
+                .answered_within(RequestKind::Watch, now - sent, now);
             w.apply_record_changes(i, process, record_changes, sent);
             w.run_scheduler(i, process);
             w.watch(i, process);
--- a/crates/hopyoke-simulator/src/node/scheduling.rs
+++ b/crates/hopyoke-simulator/src/node/scheduling.rs
@@ -5,6 +5,7 @@
 use crate::digest::Channel;
 use crate::kv_store::{Entry, Value};
 use crate::{Host, Simulation};
+use hopyoke_consistency::latency::{Purpose, RequestKind};
 use hopyoke_protocol::cloud::ScaleOutRequest;
 use hopyoke_scheduler::{Action, Batch, ScaleOutOutcome};
 use hopyoke_types::{FencingToken, JobId, MachineId, Micros, ModRevision};
@@ -204,15 +205,18 @@
         });
     }
 
-    /// Reads a job's record; without a response within 1.5 s the read has failed.
+    /// Reads a job's record; without a response in time the read has failed.
     fn reload_record(&mut self, i: usize, process: u64, job: JobId) {
         let open = Rc::new(Cell::new(true));
         let (late, unanswered) = (job.clone(), open.clone());
-        self.timer(i, Micros::from_millis(1500), move |w| {
-            if unanswered.replace(false)
-                && let Some(l) = w.leadership(i, process)
-            {
-                l.scheduler.record_reload_failed(late);
+        let sent = self.now;
+        let timeout = self.store_timeout(i, RequestKind::Read, Purpose::Term);
+        self.timer(i, timeout, move |w| {
+            if w.leadership(i, process).is_some() && unanswered.replace(false) {
+                w.store_timed_out(i, RequestKind::Read, sent);
+                if let Some(l) = w.leadership(i, process) {
+                    l.scheduler.record_reload_failed(late);
+                }
             }
         });
         self.send(Host::Node(i), Host::KvStore, move |w| {
@@ -227,7 +231,11 @@
             let refused = w.store_rejects(i);
             w.send(Host::KvStore, Host::Node(i), move |w| {
                 let now = w.now;
-                let Some(l) = w.leadership(i, process).filter(|_| open.replace(false)) else {
+                if w.leadership(i, process).is_none() || !open.replace(false) {
+                    return;
+                }
+                w.store_answered(i, RequestKind::Read, sent);
+                let Some(l) = w.leadership(i, process) else {
                     return;
                 };
                 if refused {
--- a/crates/hopyoke/src/api/deadline.rs
+++ b/crates/hopyoke/src/api/deadline.rs
@@ -1,13 +1,10 @@
 //! The one deadline of a user's request: whatever serves it, here or at a peer, spends what is left of it.
 
-use crate::store::timeouts::{USER_POLL_TIMEOUT, USER_WRITE_TIMEOUT};
+use hopyoke_consistency::deadline::{TRANSFER_MARGIN, USER_POLL_TIMEOUT, USER_WRITE_TIMEOUT};
 use hopyoke_event_loop as runtime;
 use hopyoke_event_loop::http::Method;
 use hopyoke_types::Micros;
 
-/// What is left of the user's time for the way of the request and of its answer.
-const TRANSFER_MARGIN: Micros = Micros::from_millis(100);
-
 /// When a user's request must be answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RequestDeadline(Micros);
--- a/crates/hopyoke/src/api/jobs.rs
+++ b/crates/hopyoke/src/api/jobs.rs
@@ -6,6 +6,7 @@
 use crate::store::error::StateError;
 use crate::store::records::{self, Lookup, lookup, lookup_ended};
 use hopyoke_admission::RetryAfter;
+use hopyoke_consistency::deadline::{FORWARD_TO_LEADER_TIMEOUT, leaders_share};
 use hopyoke_consistency::latency::RequestKind;
 use hopyoke_event_loop as runtime;
 use hopyoke_event_loop::http::{Method, Request, Response};
@@ -67,12 +68,6 @@
     path.split('?').next()?.strip_prefix("/api/jobs")
 }
 
-/// For a poll forwarded to the leader, while the store is fast: most of the time in which the user waits is left for this
-/// node's own attempt.
-const FORWARD_TO_LEADER_TIMEOUT: Micros = Micros::from_millis(500);
-/// What a poll takes at the leader besides the store's latency: it waits for the next query, which others share.
-const LEADER_QUERY_DELAY: Micros = Micros::from_millis(150);
-
 /// Serves a user's request by its deadline. A poll is forwarded to the leader, which knows what runs; whatever this node
 /// cannot decide is forwarded to a peer that reaches the key-value store.
 pub(crate) async fn serve(node: &Rc<Node>, rest: &str, request: &Request) -> Response {
@@ -127,21 +122,6 @@
     client.forward(&node.settings.node, request, timeout).await
 }
 
-/// How long the leader's answer to a poll is waited for: so that this node's own attempt, which reads from the store, can
-/// follow if the leader has none. Where the store's latency leaves no time for both, it is the leader that gets all of it
-/// if the store answers it, for one read of its own serves many polls.
-fn leaders_share(latency: Micros, remaining: Micros, leader_reaches_store: bool) -> Option<Micros> {
-    let leader_needs = latency + LEADER_QUERY_DELAY;
-    if leader_needs <= FORWARD_TO_LEADER_TIMEOUT && FORWARD_TO_LEADER_TIMEOUT + latency <= remaining
-    {
-        return Some(FORWARD_TO_LEADER_TIMEOUT);
-    }
-    if leader_needs + latency <= remaining {
-        return Some(remaining - latency);
-    }
-    leader_reaches_store.then_some(remaining)
-}
-
 /// The answer of a peer that reaches the key-value store, if any does and has one.
 async fn peers_answer(
     node: &Node,
--- a/crates/hopyoke/src/peers/server.rs
+++ b/crates/hopyoke/src/peers/server.rs
@@ -17,10 +17,10 @@
     HistoryRequest, JobChange, StaffedAnswer, StaffedRequest, StatusAnswer, StatusRequest,
     UserAnswer, UserRequest, WhenAnswer, WhenRequest,
 };
-use crate::store::timeouts::USER_POLL_TIMEOUT;
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use hopyoke_consistency::Cursor;
+use hopyoke_consistency::deadline::USER_POLL_TIMEOUT;
 use hopyoke_event_loop::http::{Method, Request};
 use hopyoke_event_loop::{self as runtime, TcpListener};
 use hopyoke_heartbeat::ConnectionLoad;
--- a/crates/hopyoke/src/store/client.rs
+++ b/crates/hopyoke/src/store/client.rs
@@ -3,6 +3,7 @@
 use super::error::StateError;
 use super::timeouts::RequestTimeouts;
 use hopyoke_admission::{RateLimiter, RequestPriority, SharedLimit};
+use hopyoke_consistency::deadline::must_read_side_by_side;
 use hopyoke_consistency::latency::RequestKind;
 use hopyoke_event_loop as runtime;
 use hopyoke_event_loop::http::{Client, ClientError, Method, Response};
@@ -280,7 +281,7 @@
             return false;
         };
         let latency = self.store.timeouts.expected(RequestKind::Read);
-        latency.is_some_and(|l| now + l.times(2) > deadline)
+        must_read_side_by_side(latency, deadline - now)
             && self
                 .store
                 .rate_limiter
--- a/crates/hopyoke/src/store/read_index.rs
+++ b/crates/hopyoke/src/store/read_index.rs
@@ -1,7 +1,7 @@
 //! Linearizable reads from the leader's scheduler: one query to the key-value store serves all reads that wait (see
 //! [`hopyoke_consistency::read_index`]).
 
-use super::timeouts::USER_POLL_TIMEOUT;
+use hopyoke_consistency::deadline::USER_POLL_TIMEOUT;
 use hopyoke_consistency::read_index::{Limits, ReadIndex, ReadOutcome, ReadQuery};
 use hopyoke_event_loop as runtime;
 use hopyoke_event_loop::Notify;
--- a/crates/hopyoke/src/store/timeouts.rs
+++ b/crates/hopyoke/src/store/timeouts.rs
@@ -1,27 +1,19 @@
 //! How long answers of the key-value store are waited for: by the latency measured, within what each request serves.
 
 use hopyoke_admission::RequestPriority;
-use hopyoke_consistency::latency::{RequestKind, SpeedChange, StoreLatency, TimeoutBounds};
-use hopyoke_consistency::leader_lease::{MIN_LEASE_TIMEOUT, lease_timeouts};
+use hopyoke_consistency::latency::{
+    Purpose, RequestKind, SpeedChange, StoreLatency, TimeoutPolicy,
+};
 use hopyoke_event_loop as runtime;
+use hopyoke_settings::JOB_WATCH_WAIT;
 use hopyoke_types::Micros;
 use std::cell::{Cell, RefCell};
 use tracing::warn;
 
-/// How long a user waits for the answer to a poll: PROTOCOL, "GET /api/jobs/{id}".
-pub(crate) const USER_POLL_TIMEOUT: Micros = Micros::from_secs(2);
-/// How long a user waits for the answer to a submission or cancellation: PROTOCOL, "POST /api/jobs".
-pub(crate) const USER_WRITE_TIMEOUT: Micros = Micros::from_secs(5);
-/// The first timeout of a write: half of its user's, so that a peer can still be asked after a store that is silent.
-const FIRST_WRITE_TIMEOUT: Micros = Micros(USER_WRITE_TIMEOUT.0 / 2);
-
 /// Timeouts of this node's requests to the store.
 pub(crate) struct RequestTimeouts {
     latency: RefCell<StoreLatency>,
-    /// For requests on which a lease depends; the floor of all others.
-    lease: TimeoutBounds,
-    /// The longest that requests of a leader's term are waited for: a leader that has no news for that long may not act.
-    term_ceiling: Micros,
+    policy: TimeoutPolicy,
     /// Requests without an answer in time, by priority.
     counts: [Cell<u64>; RequestPriority::ALL.len()],
 }
@@ -31,34 +23,17 @@
     pub(crate) fn new(leader_ttl: Micros) -> RequestTimeouts {
         RequestTimeouts {
             latency: RefCell::default(),
-            lease: lease_timeouts(leader_ttl),
-            term_ceiling: hopyoke_settings::JOB_WATCH_WAIT + leader_ttl,
+            policy: TimeoutPolicy::new(leader_ttl, JOB_WATCH_WAIT),
             counts: Default::default(),
         }
     }
 
     /// How long the answer to a request is waited for that is sent now.
     pub(crate) fn timeout(&self, kind: RequestKind, priority: RequestPriority) -> Micros {
-        let bounds = self.bounds(kind, priority);
+        let bounds = self.policy.bounds(kind, purpose_of(priority));
         self.latency.borrow().timeout(kind, bounds, runtime::now())
     }
 
-    fn bounds(&self, kind: RequestKind, priority: RequestPriority) -> TimeoutBounds {
-        let floor = match kind {
-            RequestKind::Write => FIRST_WRITE_TIMEOUT,
-            RequestKind::Lease => MIN_LEASE_TIMEOUT,
-            RequestKind::Read | RequestKind::Watch => self.lease.floor,
-        };
-        let ceiling = match priority {
-            RequestPriority::Critical => self.lease.ceiling,
-            RequestPriority::Records | RequestPriority::Background => self.term_ceiling,
-            RequestPriority::Cancels | RequestPriority::Accepts | RequestPriority::Polls => {
-                USER_WRITE_TIMEOUT
-            }
-        };
-        TimeoutBounds::new(floor, ceiling)
-    }
-
     /// The latency to expect of a request that is sent now; `None` if none was measured lately.
     pub(crate) fn expected(&self, kind: RequestKind) -> Option<Micros> {
         self.latency.borrow().expected(kind, runtime::now())
@@ -131,3 +106,14 @@
         }
     }
 }
+
+/// What requests of a priority serve.
+fn purpose_of(priority: RequestPriority) -> Purpose {
+    match priority {
+        RequestPriority::Critical => Purpose::Lease,
+        RequestPriority::Records | RequestPriority::Background => Purpose::Term,
+        RequestPriority::Cancels | RequestPriority::Accepts | RequestPriority::Polls => {
+            Purpose::User
+        }
+    }
+}
