--- a/crates/hopyoke-emulator/tests/concurrent_reads/slow_store.rs
+++ b/crates/hopyoke-emulator/tests/concurrent_reads/slow_store.rs
@@ -387,6 +387,15 @@
             cases.push(case(Constant(l), Slow::All, side, Killed));
         }
     }
+    for event in [
+        Killed,
+        KilledAndBack,
+        Frozen,
+        AllRestarted,
+        KilledThenOutage,
+    ] {
+        cases.push(case(Constant(0), Slow::All, Side::Before, event));
+    }
     for event in [Frozen, AllRestarted, KilledThenOutage] {
         cases.push(case(Constant(1_400), Slow::All, Side::Before, event));
         cases.push(case(Constant(1_700), Slow::All, Side::After, event));
--- a/crates/hopyoke/src/main.rs
+++ b/crates/hopyoke/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use hopyoke::peers::client;
 use hopyoke::peers::client::proto::{HistoryRequest, StaffedRequest, WhenRequest};
+use hopyoke_consistency::leader_lease::max_election_latency;
 use hopyoke_event_loop as runtime;
 use hopyoke_policy::{Figures, Policy};
 use hopyoke_settings::Settings;
@@ -246,7 +247,11 @@
     let mut faults = Vec::new();
     if let Some(file) = config {
         match Settings::load(file) {
-            Ok(_) => println!("{}: no faults", file.display()),
+            Ok(settings) => println!(
+                "{}: no faults\n{}",
+                file.display(),
+                election_limit(&settings)
+            ),
             Err(e) => faults.push(e.to_string()),
         }
     }
@@ -263,6 +268,16 @@
     }
 }
 
+/// The latency of the key-value store that these settings can bear.
+fn election_limit(settings: &Settings) -> String {
+    let ttl = settings.leader_ttl();
+    format!(
+        "a leader can be elected while the key-value store answers within {:.2} s: half of the leader lease's {:.2} s",
+        max_election_latency(ttl).as_secs_f64(),
+        ttl.as_secs_f64()
+    )
+}
+
 fn load_policy(file: Option<&Path>) -> Result<Policy, String> {
     let Some(file) = file else {
         return Ok(Policy::defaults());
