Polls that come too late for their users are read on: a final state answers the next one

Cause: the record of a finished job can't be read within the 2 s of its user's poll, and nothing read it for the next one. Mend: such a lookup goes on in the background, at most 32 at a node; final states never change, so the next poll is answered from memory. Test finished_jobs_are_answered_for_under_a_store_too_slow_for_polls.

--- a/crates/hopyoke-emulator/tests/concurrent_reads/slow_store.rs
+++ b/crates/hopyoke-emulator/tests/concurrent_reads/slow_store.rs
@@ -478,6 +478,46 @@
     });
 }
 
+/// A job is over, and no node remembers it; the store takes 1.95 s, longer than a poll's user leaves for it. Each node
+/// answers within the users' bound nevertheless: what it reads too late for one poll, it knows at the next. (Guards
+/// `forgotten`: every such poll was refused at once, for ever.)
+#[test]
+fn finished_jobs_are_answered_for_under_a_store_too_slow_for_polls() {
+    on_runtime(async {
+        let mut cluster = cluster("slow-finished").await;
+        let users = Users::new(&cluster);
+        let finished = users.job(1, 0.1);
+        strike(&mut cluster, Event::AllRestarted).await;
+        let fresh = users.job(2, 0.1);
+        users.submit_until_accepted(&fresh, 0).await;
+        let key = format!("end/{}", fresh.id);
+        let is_over = |c: &Cluster| c.store.get(&key).is_some();
+        assert!(cluster.wait_for(MAX_UNANSWERED, is_over).await);
+        let case = case(
+            Pattern::Constant(1_950),
+            Slow::All,
+            Side::After,
+            Event::AllRestarted,
+        );
+        slow_down(&cluster, case);
+        runtime::sleep(Micros::from_secs(10)).await;
+        let path = format!("/api/jobs/{}", finished.id);
+        for node in 0..NODES {
+            let end = runtime::now() + MAX_UNANSWERED;
+            loop {
+                let answer = users.clients[node]
+                    .send(Method::Get, &path, &[], ms(2_000))
+                    .await;
+                if matches!(&answer, Ok(r) if r.status == 200) {
+                    break;
+                }
+                assert!(runtime::now() < end, "node {node}: {answer:?}");
+                runtime::sleep(ms(1_000)).await;
+            }
+        }
+    });
+}
+
 /// At 4 s nobody can be elected under a lease of 4 s.
 #[test]
 fn above_the_limit_users_are_told_and_service_comes_back() {
--- a/crates/hopyoke/src/api/jobs.rs
+++ b/crates/hopyoke/src/api/jobs.rs
@@ -179,7 +179,11 @@
         return Response::empty(405);
     }
     let answer = if verb == Method::Get {
-        poll(node, &id, deadline).await
+        let answer = poll(node, &id, deadline).await;
+        if answer.is_err() {
+            records::look_up_in_background(node, &id);
+        }
+        answer
     } else {
         cancel(node, &id, deadline).await
     };
--- a/crates/hopyoke/src/node.rs
+++ b/crates/hopyoke/src/node.rs
@@ -8,6 +8,7 @@
 use crate::peers::heartbeat_relay::HeartbeatRelay;
 use crate::store::client::KvClient;
 use crate::store::read_index::WaitingReads;
+use crate::store::records::BackgroundLookups;
 use crate::store::terminal_states::TerminalStateCache;
 use hopyoke_admission::SharedLimit;
 use hopyoke_consistency::DeliveryCursors;
@@ -47,6 +48,8 @@
     /// The support that this node grants to a peer's leader lease.
     pub(crate) lease_support: LeaseSupport,
     pub(crate) terminal_states: TerminalStateCache,
+    /// Jobs whose records are read for the next poll.
+    pub(crate) background_lookups: BackgroundLookups,
     pub(crate) peers: PeerClients,
     /// Open connections of users and agents.
     pub(crate) open_connections: OpenConnections,
@@ -271,6 +274,7 @@
             candidacy: RefCell::new(Candidacy::Starting),
             lease_support: LeaseSupport::of_new_process(),
             terminal_states: TerminalStateCache::default(),
+            background_lookups: BackgroundLookups::default(),
             peers: PeerClients::new(&settings.peers),
             open_connections: OpenConnections::default(),
             routes: RefCell::new(Routes::new(settings.peers.len())),
--- a/crates/hopyoke/src/store/records.rs
+++ b/crates/hopyoke/src/store/records.rs
@@ -10,6 +10,8 @@
 use hopyoke_protocol::user::JobState;
 use hopyoke_scheduler::{EndRecord, JobRecord};
 use hopyoke_types::{JobId, Micros, ModRevision};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tracing::{debug, warn};
 
@@ -172,6 +174,30 @@
     }
 }
 
+/// Lookups in the background at once: their users ask again every few seconds.
+const MAX_BACKGROUND_LOOKUPS: usize = 32;
+
+/// Jobs whose records are being read though their users no longer wait.
+#[derive(Default)]
+pub(crate) struct BackgroundLookups(RefCell<BTreeSet<JobId>>);
+
+/// Goes on reading a job's record after its user's deadline: a final state is remembered, and answers the next poll
+/// however slow the store is. (Guards `forgotten`: test finished_jobs_are_answered_for_under_a_store_too_slow_for_polls.)
+pub(crate) fn look_up_in_background(node: &Rc<Node>, id: &JobId) {
+    let lookups = &node.background_lookups.0;
+    let is_full = lookups.borrow().len() >= MAX_BACKGROUND_LOOKUPS;
+    if is_full || !lookups.borrow_mut().insert(id.clone()) {
+        return;
+    }
+    let (node, id) = (node.clone(), id.clone());
+    runtime::spawn_until(node.cancel.clone(), async move {
+        if let Err(e) = lookup(&node, node.store.polling(), &id).await {
+            debug!(job = %id, error = %e, "job not read in the background");
+        }
+        node.background_lookups.0.borrow_mut().remove(&id);
+    });
+}
+
 /// Reads the record of a job that is known not to be among the unfinished ones, so most likely over.
 ///
 /// # Errors
