--- a/crates/hopyoke-emulator/tests/concurrent_reads/slow_store.rs
+++ b/crates/hopyoke-emulator/tests/concurrent_reads/slow_store.rs
@@ -374,6 +374,8 @@
         let mut cluster = cluster("slow-finished-job").await;
         let users = Users::new(&cluster);
         let finished = users.job(1, 0.1);
+        // Its users' own questions are over by then.
+        runtime::sleep(ms(1_500)).await;
         strike(&mut cluster, Event::AllRestarted).await;
         let case = case(
             Pattern::Constant(1_500),
@@ -487,6 +489,8 @@
         let mut cluster = cluster("slow-finished").await;
         let users = Users::new(&cluster);
         let finished = users.job(1, 0.1);
+        // Its users' own questions are over by then.
+        runtime::sleep(ms(1_500)).await;
         strike(&mut cluster, Event::AllRestarted).await;
         let fresh = users.job(2, 0.1);
         users.submit_until_accepted(&fresh, 0).await;
