--- a/crates/hopyoke/src/workflows/calls.rs
+++ b/crates/hopyoke/src/workflows/calls.rs
@@ -13,7 +13,7 @@
     workflow_plan_key, workflow_plan_prefix,
 };
 use crate::store::watch::job_id_of;
-use crate::workflows::runner::{Value, head_of, pages_of, plan_of};
+use crate::workflows::records::{Value, head_of, pages_of, plan_of};
 use hopyoke_event_loop as runtime;
 use hopyoke_protocol::state::{Compare, Mutation, Stored};
 use hopyoke_scheduler::{JobRecord, unschedulable_reason};
