--- a/crates/hopyoke-consistency/src/leader_lease.rs
+++ b/crates/hopyoke-consistency/src/leader_lease.rs
@@ -48,11 +48,17 @@
 pub fn lease_timeouts(ttl: Micros) -> TimeoutBounds {
     let max_latency = max_election_latency(ttl);
     TimeoutBounds::new(
-        renewal_interval(ttl).clamp(MIN_LEASE_TIMEOUT, MAX_FIRST_LEASE_TIMEOUT),
+        first_lease_timeout(ttl),
         max_latency + Micros(max_latency.0 / 4),
     )
 }
 
+/// The first timeout while nothing is known of the store's latency: so long that two attempts fit into the time to live, and
+/// a moment for what follows.
+fn first_lease_timeout(ttl: Micros) -> Micros {
+    Micros(ttl.0 * 3 / 8).clamp(MIN_LEASE_TIMEOUT, MAX_FIRST_LEASE_TIMEOUT)
+}
+
 /// How long after a renewal was sent the next one is, if it was answered.
 #[must_use]
 pub fn renewal_interval(ttl: Micros) -> Micros {
