--- a/crates/hopyoke-simulator/src/node/failover.rs
+++ b/crates/hopyoke-simulator/src/node/failover.rs
@@ -104,6 +104,8 @@
                 return w.after(again, move |w| {
                     if w.may_take_over(i, process, r.lease) {
                         w.read_records(i, process, r);
+                    } else {
+                        w.give_up_takeover(i, process, r.lease);
                     }
                 });
             }
@@ -114,7 +116,7 @@
             let more = r.take_page(&w.kv_store, page);
             w.send(Host::KvStore, Host::Node(i), move |w| {
                 if !w.may_take_over(i, process, r.lease) {
-                    return;
+                    return w.give_up_takeover(i, process, r.lease);
                 }
                 if more {
                     w.read_records(i, process, r)
@@ -134,6 +136,18 @@
             && self.is_taking_over(i)
     }
 
+    /// The records are no longer read: the lease, which may be prolonged once more after an outage, is left to expire, and
+    /// the node campaigns again. (Scenario store_slow_then_outage.)
+    fn give_up_takeover(&mut self, i: usize, process: u64, lease: u64) {
+        if !self.alive(i, process) {
+            return;
+        }
+        let acquired = &mut self.nodes[i].acquired_lease;
+        if acquired.is_some_and(|l| l.lease == lease) {
+            *acquired = None;
+        }
+    }
+
     /// Takes over with what was read: the scheduler starts to reconcile.
     fn failover(&mut self, i: usize, process: u64, r: RecordScan) {
         let (token, at, revision) = (r.token, r.granted_at, r.revision.unwrap_or_default());
