--- a/review/standins/src/nodes.rs
+++ b/review/standins/src/nodes.rs
@@ -4,7 +4,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Mutex, OnceLock};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -45,6 +46,25 @@
         .collect()
 }
 
+/// Starts a process from a thread that lives as long as this program: a process is killed when the thread that started
+/// it ends.
+fn spawn(program: Command) -> std::io::Result<Child> {
+    type Job = (Command, Sender<std::io::Result<Child>>);
+    static SPAWNER: OnceLock<Mutex<Sender<Job>>> = OnceLock::new();
+    let spawner = SPAWNER.get_or_init(|| {
+        let (sender, jobs) = channel::<Job>();
+        std::thread::spawn(move || {
+            for (mut program, reply) in jobs {
+                let _ = reply.send(program.spawn());
+            }
+        });
+        Mutex::new(sender)
+    });
+    let (reply, child) = channel();
+    let _ = spawner.lock().unwrap().send((program, reply));
+    child.recv().unwrap_or(Err(std::io::ErrorKind::Other.into()))
+}
+
 impl Node {
     pub fn new(name: &str, api: SocketAddr, mesh: SocketAddr, settings: &str, folder: &str) -> Node {
         let config = format!("{folder}/{name}.toml");
@@ -59,7 +79,12 @@
         }
     }
 
+    /// Starts the process, unless it runs.
     pub fn start(&self, repository: &str, level: &str) -> bool {
+        let mut running = self.child.lock().unwrap();
+        if running.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None))) {
+            return true;
+        }
         let command = run_command(repository);
         let Ok(log) = File::options().create(true).append(true).open(&self.log) else { return false };
         let mut program = Command::new(format!("{repository}/{}", command[0]));
@@ -70,17 +95,17 @@
                 Ok(())
             });
         }
-        let child = program
+        program
             .args(&command[1..])
             .arg(&self.config)
             .env("LOG_LEVEL", level)
             .current_dir(repository)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
+            .stderr(log);
+        let child = spawn(program);
         let started = child.is_ok();
-        *self.child.lock().unwrap() = child.ok();
+        *running = child.ok();
         started
     }
 
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -28,30 +28,65 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
+    pub zones: [&'static str; 3],
+    /// Name, guaranteed GPUs and most GPUs of each team.
+    pub teams: Vec<(&'static str, u32, u32)>,
+    /// Requests and changes a second of the state service.
+    pub state_rps: (f64, f64),
+    /// `[facts.cloud]` and `[facts.machine_limits]`.
+    pub limits: &'static str,
     nodes: Mutex<Vec<(String, SocketAddr)>>,
     seen: Mutex<Seen>,
     seed: AtomicU64,
+    /// Of this share of the workers' reports, in percent, a copy arrives again later, at every controller.
+    pub copy_share: AtomicU64,
 }
 
 impl Site {
-    /// The figures of bangkarera-hire in the brief; images are fetched sooner, and boots are short.
+    /// The figures of bangkarera-hire in the brief.
     pub fn new(record: &str) -> Site {
+        let zones = ["pasigeast", "pasigwest", "lagunaside"];
         Site {
             record: Record::new(record),
             rigs: vec![map! {
                 "label" => "bancarig", "cpus" => 16.0, "cards" => 2.0, "mem_gb" => 64.0, "cache_gb" => 70.0,
                 "fetch_gb_per_s" => 0.6, "price" => 7.19, "spot_price" => 2.64, "boot_s" => 45.0,
-                "basins" => ["pasigeast", "pasigwest", "lagunaside"].map(Value::from).to_vec(),
+                "basins" => zones.map(Value::from).to_vec(),
             }],
             report_s: 2.0,
             lease_s: 14.0,
             cancel_s: 34.0,
+            zones,
+            teams: vec![
+                ("bookingdesk", 8, 16),
+                ("fleetwatch", 16, 64),
+                ("ledgermove", 16, 40),
+                ("skipperops", 10, 40),
+                ("dockworks", 16, 56),
+            ],
+            state_rps: (150.0, 25.0),
+            limits: "[facts.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n\n[facts.machine_limits]\ncores = 0.096\nmem_mb = 56.0\nmax_connections = 1500\n",
             nodes: Mutex::default(),
             seen: Mutex::default(),
             seed: AtomicU64::new(u64::from(std::process::id()) * 2_654_435_761 + 12_345),
+            copy_share: AtomicU64::new(0),
         }
     }
 
+    /// The figures of heirloomlane in the brief.
+    pub fn become_heirloomlane(&mut self) {
+        self.zones = ["portsmouth", "worcester", "burlington"];
+        self.rigs = vec![map! {
+            "label" => "snapbox", "cpus" => 16.0, "cards" => 2.0, "mem_gb" => 96.0, "cache_gb" => 70.0,
+            "fetch_gb_per_s" => 0.6, "price" => 6.66, "spot_price" => 2.59, "boot_s" => 35.0,
+            "basins" => self.zones.map(Value::from).to_vec(),
+        }];
+        (self.report_s, self.lease_s, self.cancel_s) = (3.0, 38.0, 63.0);
+        self.teams = vec![("albumcrew", 16, 40), ("archivecrew", 24, 64), ("supportdesk", 8, 40), ("billingdesk", 16, 48)];
+        self.state_rps = (200.0, 60.0);
+        self.limits = "[facts.cloud]\nrps = 3.0\nlist_lag_s = 8.0\n\n[facts.machine_limits]\ncores = 0.16\nmem_mb = 136.0\nmax_connections = 3000\n";
+    }
+
     pub fn set_nodes(&self, nodes: Vec<(String, SocketAddr)>) {
         *self.nodes.lock().unwrap() = nodes;
     }
@@ -94,8 +129,24 @@
         }
         seen.run_s.get(job).copied().unwrap_or(spec.float("voyage_s"))
     }
+    /// A task has completed. A gang completes as a whole.
     pub fn task_done(&self, oar: &str) {
-        self.seen.lock().unwrap().done.insert(oar.into());
+        let mut seen = self.seen.lock().unwrap();
+        let job = oar.split('/').next().unwrap_or("").to_owned();
+        let spec = seen.specs.get(&job).cloned().unwrap_or(Value::Nil);
+        if spec.text("hull") == "group" {
+            let oars = spec.int("oars").unwrap_or(1);
+            seen.done.extend((0..oars).map(|i| format!("{job}/{i}")));
+        }
+        seen.done.insert(oar.into());
+    }
+    pub fn is_done(&self, oar: &str) -> bool {
+        self.seen.lock().unwrap().done.contains(oar)
+    }
+    /// Number of a job's tasks that have completed.
+    pub fn done_of(&self, job: &str) -> u64 {
+        let prefix = format!("{job}/");
+        self.seen.lock().unwrap().done.iter().filter(|o| o.starts_with(&prefix)).count() as u64
     }
     pub fn told_cancelled(&self, id: &str) {
         let now = self.record.now();
@@ -184,8 +235,6 @@
     pub more: String,
 }
 
-const ZONES: [&str; 3] = ["pasigeast", "pasigwest", "lagunaside"];
-
 /// Writes the settings of three controllers, as DEPLOY-hopyoke shows them, and starts the processes.
 pub fn start_nodes(site: &Site, layout: &Layout, folder: &str) -> Vec<Node> {
     let free = free_addresses(6);
@@ -194,26 +243,28 @@
         .map(|i| {
             let mut t = format!(
                 "node = \"{}\"\nzone = \"{}\"\nserve_on = \"{}\"\nmesh_addr = \"{}\"\n",
-                name(i), ZONES[i], free[i], free[3 + i]
+                name(i),
+                site.zones[i],
+                free[i],
+                free[3 + i]
             );
             for j in (0..3).filter(|j| *j != i) {
                 let endpoint = (layout.mesh)(i, j, free[3 + j]);
-                t += &format!("\n[[others]]\nnode = \"{}\"\nzone = \"{}\"\nendpoint = \"{endpoint}\"\n", name(j), ZONES[j]);
+                t += &format!("\n[[others]]\nnode = \"{}\"\nzone = \"{}\"\nendpoint = \"{endpoint}\"\n", name(j), site.zones[j]);
             }
             t += &format!("\n[endpoints]\ncloud = \"{}\"\nstate = \"{}\"\n", layout.cloud, layout.state[i]);
-            t += "\n[facts]\nnodes = 3\nzones = [\"lagunaside\", \"pasigeast\", \"pasigwest\"]\nskew_ms = 250.0\n";
-            for (team, gpus, most) in [
-                ("bookingdesk", 8, 16), ("fleetwatch", 16, 64), ("ledgermove", 16, 40), ("skipperops", 10, 40), ("dockworks", 16, 56),
-            ] {
+            t += &format!("\n[facts]\nnodes = 3\nzones = {:?}\nskew_ms = 250.0\n", site.zones);
+            for (team, gpus, most) in &site.teams {
                 t += &format!("\n[[facts.teams]]\nname = \"{team}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = {gpus}.0\ngpus_max = {most}.0\n");
             }
             t += &format!(
                 "\n[facts.workers]\nreport_s = {:?}\nlease_s = {:?}\ngang_wait_s = 50.0\ngang_peer_s = 6.0\ncancel_s = {:?}\n",
                 site.report_s, site.lease_s, site.cancel_s
             );
-            t += "\n[facts.state]\nrps = 150.0\nwrite_rps = 25.0\nvalue_kb = 8.0\ntxn_ops = 16\n";
+            let (rps, write_rps) = site.state_rps;
+            t += &format!("\n[facts.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 16\n");
             t += &layout.more;
-            t += "\n[facts.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n\n[facts.machine_limits]\ncores = 0.096\nmem_mb = 56.0\nmax_connections = 1500\n";
+            t += &format!("\n{}", site.limits);
             Node::new(&name(i), free[i], free[3 + i], &t, folder)
         })
         .collect();
--- a/review/standins/src/start.rs
+++ b/review/standins/src/start.rs
@@ -48,8 +48,9 @@
     let (repository, record) = (args[1].clone(), args[2].clone());
     let trouble = args.get(3).is_none_or(|t| t != "0");
     std::thread::spawn(|| {
-        std::thread::sleep(Duration::from_secs(118));
-        could_not_run("not over after 118 s");
+        let limit = std::env::var("REVIEW_LIMIT_S").ok().and_then(|s| s.parse().ok()).unwrap_or(118);
+        std::thread::sleep(Duration::from_secs(limit));
+        could_not_run("not over in time");
     });
     let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
     if std::fs::create_dir_all(&folder).is_err() {
@@ -58,7 +59,7 @@
     let mut site = Site::new(&record);
     change(&mut site);
     let site = Arc::new(site);
-    let limits = Limits { rps: 150.0, write_rps: 25.0, value_bytes: 8192, txn_ops: 16 };
+    let limits = Limits { rps: site.state_rps.0, write_rps: site.state_rps.1, value_bytes: 8192, txn_ops: 16 };
     let (state, state_addrs) = State::start(3, limits);
     let (cloud, cloud_addr) = Cloud::start(site.clone(), plan.capacity, Duration::from_secs_f64(plan.boot_s));
     let mesh: Arc<Mutex<BTreeMap<(usize, usize), Arc<Proxy>>>> = Arc::default();
@@ -83,7 +84,7 @@
         }
     }
     for basin in plan.machines {
-        d.cloud.add("bancarig", basin, false, Duration::from_millis(200));
+        d.cloud.add(&d.site.rigs[0].text("label"), basin, false, Duration::from_millis(200));
     }
     let healthy = |n: &Node| matches!(Client::new(n.api).send("GET", "/healthz", &[], Duration::from_secs(1)), Some((200, _)));
     if !wait_for(25.0, || d.nodes.iter().all(healthy) && d.state.leader().is_some()) {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -5,6 +5,7 @@
 use crate::wire::{Client, Request, Response, Value, serve};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -323,7 +324,10 @@
             let due: Vec<(String, u64)> = inner
                 .tasks
                 .iter()
-                .filter(|(_, t)| t.until.is_some_and(|u| u <= now))
+                .filter(|((oar, _), t)| {
+                    let is_running_gang = t.bearing == "running" && t.spec.text("hull") == "group";
+                    t.until.is_some_and(|u| u <= now) || (is_running_gang && self.site.is_done(oar))
+                })
                 .map(|(k, _)| k.clone())
                 .collect();
             for (oar, launch) in due {
@@ -396,6 +400,16 @@
             if client.addr != nodes[at].1 {
                 client = Client::new(nodes[at].1);
             }
+            if self.site.random(100) < self.site.copy_share.load(Ordering::Relaxed) {
+                let (copy, nodes) = (body.clone(), nodes.clone());
+                let after = 2_000 + self.site.random(38_000);
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(after));
+                    for (_, addr) in nodes {
+                        Client::new(addr).send("POST", "/hello", &copy, Duration::from_secs(4));
+                    }
+                });
+            }
             let answer = if trouble.mute {
                 std::thread::sleep(Duration::from_secs(4));
                 None
