--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here=$(dirname "$0")
-. "$here/../run_case.sh" sick_machine "$here"
+. "$here/../run_case.sh" repeated_command "$here"
--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+here=$(dirname "$0")
+. "$here/../run_case.sh" sick_machine "$here"
--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -21,7 +21,10 @@
 struct Inner {
     machines: BTreeMap<String, Machine>,
     answers: BTreeMap<String, Value>,
+    /// Machines that are gone and still listed, as the list lags.
+    lagging: BTreeMap<String, (Value, Instant, Duration)>,
     last: u64,
+    asked: usize,
 }
 
 pub struct Cloud {
@@ -30,16 +33,42 @@
     /// Greatest number of machines.
     pub capacity: Mutex<usize>,
     pub boot: Duration,
+    /// By how much the list lags.
+    pub lag: Duration,
+}
+
+fn entry(id: &str, m: &Machine) -> Value {
+    let address = m.worker.as_ref().map(|w| w.address.lock().unwrap().clone());
+    map! {
+        "id" => id, "address" => address.map_or(Value::Nil, Value::from),
+        "rig" => m.rig.clone(), "basin" => m.basin.clone(), "driftboats" => m.spot,
+        "bearing" => if m.worker.is_some() { "running" } else { "booting" },
+        "held_s" => m.since.elapsed().as_secs_f64(),
+    }
+}
+
+impl Inner {
+    fn remove(&mut self, id: &str, lag: Duration) -> Option<Machine> {
+        let m = self.machines.remove(id)?;
+        self.lagging.insert(id.into(), (entry(id, &m), Instant::now(), lag));
+        Some(m)
+    }
 }
 
 impl Cloud {
     pub fn start(site: Arc<Site>, capacity: usize, boot: Duration) -> (Arc<Cloud>, SocketAddr) {
-        let cloud = Arc::new(Cloud { inner: Mutex::default(), site, capacity: Mutex::new(capacity), boot });
+        let lag = Duration::from_secs_f64(site.list_lag_s);
+        let cloud = Arc::new(Cloud { inner: Mutex::default(), site, capacity: Mutex::new(capacity), boot, lag });
         let serving = cloud.clone();
         let addr = serve(Arc::new(move |r| serving.handle(&r)));
         (cloud, addr)
     }
 
+    /// The list lags by `list_lag_s`, at times by as much as twice that.
+    fn next_lag(&self) -> Duration {
+        self.lag.mul_f64(1.0 + self.site.random(1000) as f64 / 1000.0)
+    }
+
     /// Machines that are there at the start.
     pub fn add(self: &Arc<Cloud>, rig: &str, basin: &str, spot: bool, boot: Duration) -> String {
         let mut inner = self.inner.lock().unwrap();
@@ -67,15 +96,32 @@
         self.inner.lock().unwrap().machines.get(id).and_then(|m| m.worker.clone())
     }
 
+    /// Number of requests for machines so far.
+    pub fn rentals(&self) -> usize {
+        self.inner.lock().unwrap().asked
+    }
+
+    /// Takes a spot machine back. It is not listed any more, once the list has come so far.
+    pub fn take(&self, id: &str) {
+        let lag = self.next_lag();
+        if let Some(m) = self.inner.lock().unwrap().remove(id, lag)
+            && let Some(w) = m.worker
+        {
+            w.delete();
+            self.site.record.line(&format!("{id} is taken back by the cloud"));
+        }
+    }
+
     fn handle(self: &Arc<Cloud>, r: &Request) -> Response {
         match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/catalog") => Response::new(200, &map! {"rigs" => self.site.rigs.clone()}),
             ("POST", "/machines") => self.rent(r),
             ("POST", "/machines/delete") => {
                 let names = Value::decode(&r.body).unwrap_or(Value::Nil).list("vessels");
+                let lag = self.next_lag();
                 for name in names {
                     let Value::Text(name) = name else { continue };
-                    let removed = self.inner.lock().unwrap().machines.remove(&name);
+                    let removed = self.inner.lock().unwrap().remove(&name, lag);
                     if let Some(m) = removed {
                         if let Some(w) = m.worker {
                             w.delete();
@@ -88,21 +134,16 @@
             ("GET", "/machines") => {
                 let since = r.query.get("since").cloned().unwrap_or_default();
                 let most = r.query.get("most").and_then(|m| m.parse().ok()).unwrap_or(500usize).min(500);
-                let inner = self.inner.lock().unwrap();
-                let mut after = inner.machines.iter().filter(|(id, _)| **id > since);
-                let page: Vec<Value> = after
-                    .by_ref()
-                    .take(most)
-                    .map(|(id, m)| {
-                        let address = m.worker.as_ref().map(|w| w.address.lock().unwrap().clone());
-                        map! {
-                            "id" => id.clone(), "address" => address.map_or(Value::Nil, Value::from),
-                            "rig" => m.rig.clone(), "basin" => m.basin.clone(), "driftboats" => m.spot,
-                            "bearing" => if m.worker.is_some() { "running" } else { "booting" },
-                            "held_s" => m.since.elapsed().as_secs_f64(),
-                        }
-                    })
-                    .collect();
+                let mut inner = self.inner.lock().unwrap();
+                let lag = self.lag;
+                inner.lagging.retain(|_, (_, gone, lag)| gone.elapsed() < *lag);
+                let mut all: BTreeMap<String, Value> =
+                    inner.lagging.iter().map(|(id, (v, ..))| (id.clone(), v.clone())).collect();
+                // A new machine is missing until the list has come so far.
+                let old = inner.machines.iter().filter(|(_, m)| m.since.elapsed() >= lag);
+                all.extend(old.map(|(id, m)| (id.clone(), entry(id, m))));
+                let mut after = all.into_iter().filter(|(id, _)| *id > since);
+                let page: Vec<Value> = after.by_ref().take(most).map(|(_, v)| v).collect();
                 let more = after.next().is_some();
                 Response::new(200, &map! {"vessels" => page, "more" => more})
             }
@@ -113,6 +154,7 @@
     fn rent(self: &Arc<Cloud>, r: &Request) -> Response {
         let Some(q) = Value::decode(&r.body) else { return Response::empty(400) };
         let charter = q.text("charter");
+        self.inner.lock().unwrap().asked += 1;
         if let Some(a) = self.inner.lock().unwrap().answers.get(&charter) {
             return Response::new(200, a);
         }
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -30,8 +30,11 @@
     }
 
     pub fn broken(&self, text: &str) {
-        self.line(&format!("BROKEN RULE {text}"));
-        self.broken.lock().unwrap().push(text.to_owned());
+        let mut broken = self.broken.lock().unwrap();
+        if !broken.iter().any(|b| b == text) {
+            self.line(&format!("BROKEN RULE {text}"));
+            broken.push(text.to_owned());
+        }
     }
 
     pub fn all_broken(&self) -> Vec<String> {
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -33,6 +33,7 @@
     pub teams: Vec<(&'static str, u32, u32)>,
     /// Requests and changes a second of the state service.
     pub state_rps: (f64, f64),
+    pub list_lag_s: f64,
     /// `[facts.cloud]` and `[facts.machine_limits]`.
     pub limits: &'static str,
     nodes: Mutex<Vec<(String, SocketAddr)>>,
@@ -65,6 +66,7 @@
                 ("dockworks", 16, 56),
             ],
             state_rps: (150.0, 25.0),
+            list_lag_s: 4.0,
             limits: "[facts.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n\n[facts.machine_limits]\ncores = 0.096\nmem_mb = 56.0\nmax_connections = 1500\n",
             nodes: Mutex::default(),
             seen: Mutex::default(),
@@ -84,6 +86,7 @@
         (self.report_s, self.lease_s, self.cancel_s) = (3.0, 38.0, 63.0);
         self.teams = vec![("albumcrew", 16, 40), ("archivecrew", 24, 64), ("supportdesk", 8, 40), ("billingdesk", 16, 48)];
         self.state_rps = (200.0, 60.0);
+        self.list_lag_s = 8.0;
         self.limits = "[facts.cloud]\nrps = 3.0\nlist_lag_s = 8.0\n\n[facts.machine_limits]\ncores = 0.16\nmem_mb = 136.0\nmax_connections = 3000\n";
     }
 
@@ -98,11 +101,10 @@
     }
 
     pub fn random(&self, below: u64) -> u64 {
-        let mut x = self.seed.load(Ordering::Relaxed) | 1;
-        x ^= x << 13;
-        x ^= x >> 7;
-        x ^= x << 17;
-        self.seed.store(x, Ordering::Relaxed);
+        let mut x = self.seed.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^= x >> 31;
         (x >> 16) % below.max(1)
     }
 
--- a/review/standins/src/state.rs
+++ b/review/standins/src/state.rs
@@ -152,6 +152,10 @@
         self.inner.lock().unwrap().keys.get(key).map(|e| e.value.clone())
     }
 
+    pub fn mark(&self, key: &str) -> Option<u64> {
+        self.inner.lock().unwrap().keys.get(key).map(|e| e.mark)
+    }
+
     /// The keys with a prefix, and the sizes of their values.
     pub fn keys(&self, prefix: &str) -> Vec<(String, usize)> {
         let inner = self.inner.lock().unwrap();
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -55,6 +55,8 @@
     pub address: Mutex<String>,
     inner: Mutex<Inner>,
     pub trouble: Mutex<Trouble>,
+    /// When the cloud takes the machine back, once there is a notice.
+    pub recall: Mutex<Option<Instant>>,
     /// Bodies of direct commands that were carried out, oldest first.
     pub carried_out: Mutex<Vec<Vec<u8>>>,
     site: Arc<Site>,
@@ -79,6 +81,7 @@
                 gone: false,
             }),
             trouble: Mutex::new(Trouble::default()),
+            recall: Mutex::new(None),
             carried_out: Mutex::new(Vec::new()),
             site,
         });
@@ -111,6 +114,12 @@
         }
     }
 
+    /// The cloud gives notice: it takes the machine back after this time.
+    pub fn give_notice(&self, after: Duration) {
+        *self.recall.lock().unwrap() = Some(Instant::now() + after);
+        self.inner.lock().unwrap().changed = true;
+    }
+
     /// Tasks that are on the machine now.
     pub fn on_machine(&self) -> Vec<(String, u64)> {
         let inner = self.inner.lock().unwrap();
@@ -149,11 +158,13 @@
                 Value::Map(m)
             })
             .collect();
+        let left = |at: Instant| Value::from(at.saturating_duration_since(Instant::now()).as_secs_f64());
+        let recall = self.recall.lock().unwrap().map_or(Value::Nil, left);
         map! {
             "vessel" => self.id.clone(), "address" => self.address.lock().unwrap().clone(),
             "rig" => self.rig.clone(), "basin" => self.basin.clone(), "driftboats" => self.spot,
             "watch" => inner.watch, "tally" => inner.tally, "helm" => inner.helm,
-            "recall_s" => Value::Nil, "oars" => oars,
+            "recall_s" => recall, "oars" => oars,
         }
     }
 
