--- a/review/standins/src/bin/repeated_command.rs
+++ b/review/standins/src/bin/repeated_command.rs
@@ -9,7 +9,7 @@
 
 fn main() {
     let d = start(
-        Plan { machines: vec!["pasigeast", "pasigeast"], capacity: 2, boot_s: 2.0, more: String::new(), log: "info" },
+        Plan { machines: vec!["pasigeast", "pasigeast"], spot: false, capacity: 2, boot_s: 2.0, more: String::new(), log: "info" },
         |_| {},
     );
     let site = d.site.clone();
--- a/review/standins/src/bin/sick_machine.rs
+++ b/review/standins/src/bin/sick_machine.rs
@@ -11,7 +11,7 @@
 
 fn main() {
     let d = start(
-        Plan { machines: vec!["portsmouth", "worcester", "burlington"], capacity: 3, boot_s: 2.0, more: String::new(), log: "info" },
+        Plan { machines: vec!["portsmouth", "worcester", "burlington"], spot: false, capacity: 3, boot_s: 2.0, more: String::new(), log: "info" },
         |site| site.become_heirloomlane(),
     );
     let site = d.site.clone();
--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -14,6 +14,8 @@
     basin: String,
     spot: bool,
     since: Instant,
+    /// Time for which it had been rented at `since`.
+    age: Duration,
     worker: Option<Arc<Worker>>,
 }
 
@@ -33,6 +35,8 @@
     /// Greatest number of machines.
     pub capacity: Mutex<usize>,
     pub boot: Duration,
+    /// Boot times of the first machines that are rented, in place of `boot`.
+    pub slow_boots: Mutex<Vec<Duration>>,
     /// By how much the list lags.
     pub lag: Duration,
 }
@@ -43,7 +47,7 @@
         "id" => id, "address" => address.map_or(Value::Nil, Value::from),
         "rig" => m.rig.clone(), "basin" => m.basin.clone(), "driftboats" => m.spot,
         "bearing" => if m.worker.is_some() { "running" } else { "booting" },
-        "held_s" => m.since.elapsed().as_secs_f64(),
+        "held_s" => (m.since.elapsed() + m.age).as_secs_f64(),
     }
 }
 
@@ -58,7 +62,7 @@
 impl Cloud {
     pub fn start(site: Arc<Site>, capacity: usize, boot: Duration) -> (Arc<Cloud>, SocketAddr) {
         let lag = Duration::from_secs_f64(site.list_lag_s);
-        let cloud = Arc::new(Cloud { inner: Mutex::default(), site, capacity: Mutex::new(capacity), boot, lag });
+        let cloud = Arc::new(Cloud { inner: Mutex::default(), site, capacity: Mutex::new(capacity), boot, slow_boots: Mutex::default(), lag });
         let serving = cloud.clone();
         let addr = serve(Arc::new(move |r| serving.handle(&r)));
         (cloud, addr)
@@ -69,12 +73,20 @@
         self.lag.mul_f64(1.0 + self.site.random(1000) as f64 / 1000.0)
     }
 
-    /// Machines that are there at the start.
+    /// A machine that is there at the start, rented long ago.
     pub fn add(self: &Arc<Cloud>, rig: &str, basin: &str, spot: bool, boot: Duration) -> String {
+        let id = self.rent_one(rig, basin, spot, boot);
+        if let Some(m) = self.inner.lock().unwrap().machines.get_mut(&id) {
+            m.age = Duration::from_secs(600);
+        }
+        id
+    }
+
+    fn rent_one(self: &Arc<Cloud>, rig: &str, basin: &str, spot: bool, boot: Duration) -> String {
         let mut inner = self.inner.lock().unwrap();
         inner.last += 1;
         let id = format!("m-{:06}", inner.last);
-        let machine = Machine { rig: rig.into(), basin: basin.into(), spot, since: Instant::now(), worker: None };
+        let machine = Machine { rig: rig.into(), basin: basin.into(), spot, since: Instant::now(), age: Duration::ZERO, worker: None };
         inner.machines.insert(id.clone(), machine);
         let (cloud, key) = (self.clone(), id.clone());
         std::thread::spawn(move || {
@@ -96,6 +108,11 @@
         self.inner.lock().unwrap().machines.get(id).and_then(|m| m.worker.clone())
     }
 
+    /// Number of machines that are rented.
+    pub fn machines(&self) -> usize {
+        self.inner.lock().unwrap().machines.len()
+    }
+
     /// Number of requests for machines so far.
     pub fn rentals(&self) -> usize {
         self.inner.lock().unwrap().asked
@@ -140,7 +157,7 @@
                 let mut all: BTreeMap<String, Value> =
                     inner.lagging.iter().map(|(id, (v, ..))| (id.clone(), v.clone())).collect();
                 // A new machine is missing until the list has come so far.
-                let old = inner.machines.iter().filter(|(_, m)| m.since.elapsed() >= lag);
+                let old = inner.machines.iter().filter(|(_, m)| m.since.elapsed() + m.age >= lag);
                 all.extend(old.map(|(id, m)| (id.clone(), entry(id, m))));
                 let mut after = all.into_iter().filter(|(id, _)| *id > since);
                 let page: Vec<Value> = after.by_ref().take(most).map(|(_, v)| v).collect();
@@ -163,9 +180,11 @@
         if number == 0 {
             return Response::new(503, &map! {"error" => "no capacity"});
         }
-        let boot = self.boot;
         let names: Vec<Value> = (0..number)
-            .map(|_| Value::from(self.add(&q.text("rig"), &q.text("basin"), q.is_true("driftboats"), boot)))
+            .map(|_| {
+                let boot = self.slow_boots.lock().unwrap().pop().unwrap_or(self.boot);
+                Value::from(self.rent_one(&q.text("rig"), &q.text("basin"), q.is_true("driftboats"), boot))
+            })
             .collect();
         let answer = map! {"vessels" => names};
         self.site.record.line(&format!("cloud rents {charter}: {}", answer.json()));
--- a/review/standins/src/start.rs
+++ b/review/standins/src/start.rs
@@ -34,6 +34,8 @@
 pub struct Plan {
     /// Machines at the start, by zone.
     pub machines: Vec<&'static str>,
+    /// Whether they are spot machines.
+    pub spot: bool,
     /// Greatest number of machines.
     pub capacity: usize,
     pub boot_s: f64,
@@ -78,14 +80,14 @@
     let nodes = start_nodes(&site, &layout, &folder.display().to_string());
     let d = Deployment { site, state, cloud, nodes, mesh, repository, trouble, folder };
     d.site.record.line(&format!("trouble: {}", d.trouble));
+    for basin in plan.machines {
+        d.cloud.add(&d.site.rigs[0].text("label"), basin, plan.spot, Duration::from_millis(200));
+    }
     for n in &d.nodes {
         if !n.start(&d.repository, plan.log) {
             could_not_run("a controller did not start");
         }
     }
-    for basin in plan.machines {
-        d.cloud.add(&d.site.rigs[0].text("label"), basin, false, Duration::from_millis(200));
-    }
     let healthy = |n: &Node| matches!(Client::new(n.api).send("GET", "/healthz", &[], Duration::from_secs(1)), Some((200, _)));
     if !wait_for(25.0, || d.nodes.iter().all(healthy) && d.state.leader().is_some()) {
         d.logs();
