--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -54,7 +54,8 @@
 impl Inner {
     fn remove(&mut self, id: &str, lag: Duration) -> Option<Machine> {
         let m = self.machines.remove(id)?;
-        self.lagging.insert(id.into(), (entry(id, &m), Instant::now(), lag));
+        self.lagging
+            .insert(id.into(), (entry(id, &m), Instant::now(), lag));
         Some(m)
     }
 }
@@ -62,7 +63,14 @@
 impl Cloud {
     pub fn start(site: Arc<Site>, capacity: usize, boot: Duration) -> (Arc<Cloud>, SocketAddr) {
         let lag = Duration::from_secs_f64(site.list_lag_s);
-        let cloud = Arc::new(Cloud { inner: Mutex::default(), site, capacity: Mutex::new(capacity), boot, slow_boots: Mutex::default(), lag });
+        let cloud = Arc::new(Cloud {
+            inner: Mutex::default(),
+            site,
+            capacity: Mutex::new(capacity),
+            boot,
+            slow_boots: Mutex::default(),
+            lag,
+        });
         let serving = cloud.clone();
         let addr = serve(Arc::new(move |r| serving.handle(&r)));
         (cloud, addr)
@@ -70,7 +78,8 @@
 
     /// The list lags by `list_lag_s`, at times by as much as twice that.
     fn next_lag(&self) -> Duration {
-        self.lag.mul_f64(1.0 + self.site.random(1000) as f64 / 1000.0)
+        self.lag
+            .mul_f64(1.0 + self.site.random(1000) as f64 / 1000.0)
     }
 
     /// A machine that is there at the start, rented long ago.
@@ -86,14 +95,27 @@
         let mut inner = self.inner.lock().unwrap();
         inner.last += 1;
         let id = format!("m-{:06}", inner.last);
-        let machine = Machine { rig: rig.into(), basin: basin.into(), spot, since: Instant::now(), age: Duration::ZERO, worker: None };
+        let machine = Machine {
+            rig: rig.into(),
+            basin: basin.into(),
+            spot,
+            since: Instant::now(),
+            age: Duration::ZERO,
+            worker: None,
+        };
         inner.machines.insert(id.clone(), machine);
         let (cloud, key) = (self.clone(), id.clone());
         std::thread::spawn(move || {
             std::thread::sleep(boot);
             let mut inner = cloud.inner.lock().unwrap();
             if let Some(m) = inner.machines.get_mut(&key) {
-                m.worker = Some(Worker::start(cloud.site.clone(), &key, &m.rig, &m.basin, m.spot));
+                m.worker = Some(Worker::start(
+                    cloud.site.clone(),
+                    &key,
+                    &m.rig,
+                    &m.basin,
+                    m.spot,
+                ));
                 cloud.site.record.line(&format!("{key} is up"));
             }
         });
@@ -101,11 +123,22 @@
     }
 
     pub fn workers(&self) -> Vec<Arc<Worker>> {
-        self.inner.lock().unwrap().machines.values().filter_map(|m| m.worker.clone()).collect()
+        self.inner
+            .lock()
+            .unwrap()
+            .machines
+            .values()
+            .filter_map(|m| m.worker.clone())
+            .collect()
     }
 
     pub fn worker(&self, id: &str) -> Option<Arc<Worker>> {
-        self.inner.lock().unwrap().machines.get(id).and_then(|m| m.worker.clone())
+        self.inner
+            .lock()
+            .unwrap()
+            .machines
+            .get(id)
+            .and_then(|m| m.worker.clone())
     }
 
     /// Number of machines that are rented.
@@ -125,7 +158,9 @@
             && let Some(w) = m.worker
         {
             w.delete();
-            self.site.record.line(&format!("{id} is taken back by the cloud"));
+            self.site
+                .record
+                .line(&format!("{id} is taken back by the cloud"));
         }
     }
 
@@ -150,14 +185,27 @@
             }
             ("GET", "/machines") => {
                 let since = r.query.get("since").cloned().unwrap_or_default();
-                let most = r.query.get("most").and_then(|m| m.parse().ok()).unwrap_or(500usize).min(500);
+                let most = r
+                    .query
+                    .get("most")
+                    .and_then(|m| m.parse().ok())
+                    .unwrap_or(500usize)
+                    .min(500);
                 let mut inner = self.inner.lock().unwrap();
                 let lag = self.lag;
-                inner.lagging.retain(|_, (_, gone, lag)| gone.elapsed() < *lag);
-                let mut all: BTreeMap<String, Value> =
-                    inner.lagging.iter().map(|(id, (v, ..))| (id.clone(), v.clone())).collect();
+                inner
+                    .lagging
+                    .retain(|_, (_, gone, lag)| gone.elapsed() < *lag);
+                let mut all: BTreeMap<String, Value> = inner
+                    .lagging
+                    .iter()
+                    .map(|(id, (v, ..))| (id.clone(), v.clone()))
+                    .collect();
                 // A new machine is missing until the list has come so far.
-                let old = inner.machines.iter().filter(|(_, m)| m.since.elapsed() + m.age >= lag);
+                let old = inner
+                    .machines
+                    .iter()
+                    .filter(|(_, m)| m.since.elapsed() + m.age >= lag);
                 all.extend(old.map(|(id, m)| (id.clone(), entry(id, m))));
                 let mut after = all.into_iter().filter(|(id, _)| *id > since);
                 let page: Vec<Value> = after.by_ref().take(most).map(|(_, v)| v).collect();
@@ -169,13 +217,19 @@
     }
 
     fn rent(self: &Arc<Cloud>, r: &Request) -> Response {
-        let Some(q) = Value::decode(&r.body) else { return Response::empty(400) };
+        let Some(q) = Value::decode(&r.body) else {
+            return Response::empty(400);
+        };
         let charter = q.text("charter");
         self.inner.lock().unwrap().asked += 1;
         if let Some(a) = self.inner.lock().unwrap().answers.get(&charter) {
             return Response::new(200, a);
         }
-        let free = self.capacity.lock().unwrap().saturating_sub(self.inner.lock().unwrap().machines.len());
+        let free = self
+            .capacity
+            .lock()
+            .unwrap()
+            .saturating_sub(self.inner.lock().unwrap().machines.len());
         let number = (q.int("number").unwrap_or(0) as usize).min(50).min(free);
         if number == 0 {
             return Response::new(503, &map! {"error" => "no capacity"});
@@ -183,12 +237,23 @@
         let names: Vec<Value> = (0..number)
             .map(|_| {
                 let boot = self.slow_boots.lock().unwrap().pop().unwrap_or(self.boot);
-                Value::from(self.rent_one(&q.text("rig"), &q.text("basin"), q.is_true("driftboats"), boot))
+                Value::from(self.rent_one(
+                    &q.text("rig"),
+                    &q.text("basin"),
+                    q.is_true("driftboats"),
+                    boot,
+                ))
             })
             .collect();
         let answer = map! {"vessels" => names};
-        self.site.record.line(&format!("cloud rents {charter}: {}", answer.json()));
-        self.inner.lock().unwrap().answers.insert(charter, answer.clone());
+        self.site
+            .record
+            .line(&format!("cloud rents {charter}: {}", answer.json()));
+        self.inner
+            .lock()
+            .unwrap()
+            .answers
+            .insert(charter, answer.clone());
         Response::new(200, &answer)
     }
 }
--- a/review/standins/src/nodes.rs
+++ b/review/standins/src/nodes.rs
@@ -27,7 +27,8 @@
 
 /// The program and the arguments of `run` in the deploy file.
 pub fn run_command(repository: &str) -> Vec<String> {
-    let text = std::fs::read_to_string(format!("{repository}/deploy/service.toml")).unwrap_or_default();
+    let text =
+        std::fs::read_to_string(format!("{repository}/deploy/service.toml")).unwrap_or_default();
     let run = text
         .lines()
         .find_map(|l| l.strip_prefix("run"))
@@ -62,11 +63,19 @@
     });
     let (reply, child) = channel();
     let _ = spawner.lock().unwrap().send((program, reply));
-    child.recv().unwrap_or(Err(std::io::ErrorKind::Other.into()))
+    child
+        .recv()
+        .unwrap_or(Err(std::io::ErrorKind::Other.into()))
 }
 
 impl Node {
-    pub fn new(name: &str, api: SocketAddr, mesh: SocketAddr, settings: &str, folder: &str) -> Node {
+    pub fn new(
+        name: &str,
+        api: SocketAddr,
+        mesh: SocketAddr,
+        settings: &str,
+        folder: &str,
+    ) -> Node {
         let config = format!("{folder}/{name}.toml");
         std::fs::write(&config, settings).expect("settings not written");
         Node {
@@ -82,11 +91,16 @@
     /// Starts the process, unless it runs.
     pub fn start(&self, repository: &str, level: &str) -> bool {
         let mut running = self.child.lock().unwrap();
-        if running.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None))) {
+        if running
+            .as_mut()
+            .is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+        {
             return true;
         }
         let command = run_command(repository);
-        let Ok(log) = File::options().create(true).append(true).open(&self.log) else { return false };
+        let Ok(log) = File::options().create(true).append(true).open(&self.log) else {
+            return false;
+        };
         let mut program = Command::new(format!("{repository}/{}", command[0]));
         // Safety: one plain system call. The process ends with this program, however that ends.
         unsafe {
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -21,7 +21,10 @@
     pub fn start(target: SocketAddr) -> Arc<Proxy> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
         let addr = listener.local_addr().expect("no address");
-        let proxy = Arc::new(Proxy { addr, mode: AtomicU8::new(PASS) });
+        let proxy = Arc::new(Proxy {
+            addr,
+            mode: AtomicU8::new(PASS),
+        });
         let p = proxy.clone();
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
@@ -59,10 +62,14 @@
             }
             client.set_nonblocking(false).ok();
         }
-        let Ok(server) = TcpStream::connect_timeout(&target, Duration::from_secs(2)) else { return };
+        let Ok(server) = TcpStream::connect_timeout(&target, Duration::from_secs(2)) else {
+            return;
+        };
         client.set_nodelay(true).ok();
         server.set_nodelay(true).ok();
-        let (Ok(c), Ok(s)) = (client.try_clone(), server.try_clone()) else { return };
+        let (Ok(c), Ok(s)) = (client.try_clone(), server.try_clone()) else {
+            return;
+        };
         let p = self.clone();
         std::thread::spawn(move || p.copy(c, s));
         self.copy(server, client);
@@ -85,7 +92,11 @@
                         break;
                     }
                 }
-                Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                    ) => {}
                 Err(_) => break,
             }
         }
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -14,7 +14,11 @@
 impl Record {
     pub fn new(path: &str) -> Record {
         let file = File::create(path).ok();
-        Record { start: Instant::now(), file: Mutex::new(file), broken: Mutex::new(Vec::new()) }
+        Record {
+            start: Instant::now(),
+            file: Mutex::new(file),
+            broken: Mutex::new(Vec::new()),
+        }
     }
 
     /// Seconds since the start of the run.
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -1,9 +1,9 @@
 //! A small deployment on loopback, and the rules that are checked on what happens in it.
 
+use crate::map;
 use crate::nodes::{Node, free_addresses};
 use crate::record::Record;
 use crate::wire::Value;
-use crate::map;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -84,7 +84,12 @@
             "basins" => self.zones.map(Value::from).to_vec(),
         }];
         (self.report_s, self.lease_s, self.cancel_s) = (3.0, 38.0, 63.0);
-        self.teams = vec![("albumcrew", 16, 40), ("archivecrew", 24, 64), ("supportdesk", 8, 40), ("billingdesk", 16, 48)];
+        self.teams = vec![
+            ("albumcrew", 16, 40),
+            ("archivecrew", 24, 64),
+            ("supportdesk", 8, 40),
+            ("billingdesk", 16, 48),
+        ];
         self.state_rps = (200.0, 60.0);
         self.list_lag_s = 8.0;
         self.limits = "[facts.cloud]\nrps = 3.0\nlist_lag_s = 8.0\n\n[facts.machine_limits]\ncores = 0.16\nmem_mb = 136.0\nmax_connections = 3000\n";
@@ -97,11 +102,17 @@
         self.nodes.lock().unwrap().clone()
     }
     pub fn rig(&self, label: &str) -> Value {
-        self.rigs.iter().find(|r| r.text("label") == label).cloned().unwrap_or(Value::Nil)
+        self.rigs
+            .iter()
+            .find(|r| r.text("label") == label)
+            .cloned()
+            .unwrap_or(Value::Nil)
     }
 
     pub fn random(&self, below: u64) -> u64 {
-        let mut x = self.seed.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        let mut x = self
+            .seed
+            .fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
         x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         x ^= x >> 31;
@@ -110,7 +121,11 @@
 
     /// Users upload a job's description, which workers fetch.
     pub fn upload(&self, id: &str, spec: &Value) {
-        self.seen.lock().unwrap().specs.insert(id.into(), spec.clone());
+        self.seen
+            .lock()
+            .unwrap()
+            .specs
+            .insert(id.into(), spec.clone());
     }
     pub fn spec(&self, id: &str) -> Option<Value> {
         self.seen.lock().unwrap().specs.get(id).cloned()
@@ -129,7 +144,10 @@
         if spec.text("hull") == "daemon" {
             return 1e9;
         }
-        seen.run_s.get(job).copied().unwrap_or(spec.float("voyage_s"))
+        seen.run_s
+            .get(job)
+            .copied()
+            .unwrap_or(spec.float("voyage_s"))
     }
     /// A task has completed. A gang completes as a whole.
     pub fn task_done(&self, oar: &str) {
@@ -148,16 +166,31 @@
     /// Number of a job's tasks that have completed.
     pub fn done_of(&self, job: &str) -> u64 {
         let prefix = format!("{job}/");
-        self.seen.lock().unwrap().done.iter().filter(|o| o.starts_with(&prefix)).count() as u64
+        self.seen
+            .lock()
+            .unwrap()
+            .done
+            .iter()
+            .filter(|o| o.starts_with(&prefix))
+            .count() as u64
     }
     pub fn told_cancelled(&self, id: &str) {
         let now = self.record.now();
-        self.seen.lock().unwrap().cancelled.entry(id.into()).or_insert(now);
+        self.seen
+            .lock()
+            .unwrap()
+            .cancelled
+            .entry(id.into())
+            .or_insert(now);
     }
     pub fn starts_of(&self, job: &str) -> Vec<(f64, String, String)> {
         let prefix = format!("{job}/");
         let seen = self.seen.lock().unwrap();
-        seen.starts.iter().filter(|s| s.1.starts_with(&prefix)).cloned().collect()
+        seen.starts
+            .iter()
+            .filter(|s| s.1.starts_with(&prefix))
+            .cloned()
+            .collect()
     }
     pub fn places_of(&self, job: &str) -> Vec<(String, String)> {
         let prefix = format!("{job}/");
@@ -171,19 +204,32 @@
 
     pub fn gang_waits(&self, oar: &str, launch: u64, _vessel: &str) {
         let job = oar.split('/').next().unwrap_or("").to_owned();
-        self.seen.lock().unwrap().gangs.entry((job, launch)).or_default().insert(oar.into());
+        self.seen
+            .lock()
+            .unwrap()
+            .gangs
+            .entry((job, launch))
+            .or_default()
+            .insert(oar.into());
     }
     pub fn gang_is_complete(&self, oar: &str, launch: u64) -> bool {
         let job = oar.split('/').next().unwrap_or("").to_owned();
         let seen = self.seen.lock().unwrap();
-        let size = seen.specs.get(&job).and_then(|s| s.int("oars")).unwrap_or(1);
-        seen.gangs.get(&(job, launch)).is_some_and(|g| g.len() as u64 >= size)
+        let size = seen
+            .specs
+            .get(&job)
+            .and_then(|s| s.int("oars"))
+            .unwrap_or(1);
+        seen.gangs
+            .get(&(job, launch))
+            .is_some_and(|g| g.len() as u64 >= size)
     }
 
     /// A task has its image: from now on it is on the machine. Checks `ran_twice` and `ran_cancelled`.
     pub fn entered(&self, vessel: &str, basin: &str, oar: &str, launch: u64) {
         let now = self.record.now();
-        self.record.line(&format!("{vessel} ({basin}) starts {oar} launch={launch}"));
+        self.record
+            .line(&format!("{vessel} ({basin}) starts {oar} launch={launch}"));
         let mut seen = self.seen.lock().unwrap();
         let job = oar.split('/').next().unwrap_or("").to_owned();
         seen.starts.push((now, oar.into(), vessel.into()));
@@ -191,7 +237,10 @@
         let others: Vec<String> = places.iter().filter(|m| *m != vessel).cloned().collect();
         places.insert(vessel.into());
         if !others.is_empty() {
-            self.record.broken(&format!("ran_twice: {oar} starts on {vessel} while it is on {}", others.join(", ")));
+            self.record.broken(&format!(
+                "ran_twice: {oar} starts on {vessel} while it is on {}",
+                others.join(", ")
+            ));
         }
         if let Some(at) = seen.cancelled.get(&job)
             && now > at + self.cancel_s
@@ -205,7 +254,8 @@
     }
 
     pub fn left(&self, vessel: &str, oar: &str, launch: u64, why: &str) {
-        self.record.line(&format!("{vessel} {oar} launch={launch} exits: {why}"));
+        self.record
+            .line(&format!("{vessel} {oar} launch={launch} exits: {why}"));
         let mut seen = self.seen.lock().unwrap();
         if let Some(p) = seen.places.get_mut(oar) {
             p.remove(vessel);
@@ -221,7 +271,10 @@
             if let Some(at) = seen.cancelled.get(job)
                 && now > at + self.cancel_s
             {
-                self.record.broken(&format!("ran_cancelled: {oar} is on {places:?} {:.1} s after", now - at));
+                self.record.broken(&format!(
+                    "ran_cancelled: {oar} is on {places:?} {:.1} s after",
+                    now - at
+                ));
             }
         }
     }
--- a/review/standins/src/start.rs
+++ b/review/standins/src/start.rs
@@ -50,7 +50,10 @@
     let (repository, record) = (args[1].clone(), args[2].clone());
     let trouble = args.get(3).is_none_or(|t| t != "0");
     std::thread::spawn(|| {
-        let limit = std::env::var("REVIEW_LIMIT_S").ok().and_then(|s| s.parse().ok()).unwrap_or(118);
+        let limit = std::env::var("REVIEW_LIMIT_S")
+            .ok()
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(118);
         std::thread::sleep(Duration::from_secs(limit));
         could_not_run("not over in time");
     });
@@ -61,9 +64,18 @@
     let mut site = Site::new(&record);
     change(&mut site);
     let site = Arc::new(site);
-    let limits = Limits { rps: site.state_rps.0, write_rps: site.state_rps.1, value_bytes: 8192, txn_ops: 16 };
+    let limits = Limits {
+        rps: site.state_rps.0,
+        write_rps: site.state_rps.1,
+        value_bytes: 8192,
+        txn_ops: 16,
+    };
     let (state, state_addrs) = State::start(3, limits);
-    let (cloud, cloud_addr) = Cloud::start(site.clone(), plan.capacity, Duration::from_secs_f64(plan.boot_s));
+    let (cloud, cloud_addr) = Cloud::start(
+        site.clone(),
+        plan.capacity,
+        Duration::from_secs_f64(plan.boot_s),
+    );
     let mesh: Arc<Mutex<BTreeMap<(usize, usize), Arc<Proxy>>>> = Arc::default();
     let proxies = mesh.clone();
     let layout = Layout {
@@ -78,22 +90,46 @@
         more: plan.more,
     };
     let nodes = start_nodes(&site, &layout, &folder.display().to_string());
-    let d = Deployment { site, state, cloud, nodes, mesh, repository, trouble, folder };
+    let d = Deployment {
+        site,
+        state,
+        cloud,
+        nodes,
+        mesh,
+        repository,
+        trouble,
+        folder,
+    };
     d.site.record.line(&format!("trouble: {}", d.trouble));
     for basin in plan.machines {
-        d.cloud.add(&d.site.rigs[0].text("label"), basin, plan.spot, Duration::from_millis(200));
+        d.cloud.add(
+            &d.site.rigs[0].text("label"),
+            basin,
+            plan.spot,
+            Duration::from_millis(200),
+        );
     }
     for n in &d.nodes {
         if !n.start(&d.repository, plan.log) {
             could_not_run("a controller did not start");
         }
     }
-    let healthy = |n: &Node| matches!(Client::new(n.api).send("GET", "/healthz", &[], Duration::from_secs(1)), Some((200, _)));
-    if !wait_for(25.0, || d.nodes.iter().all(healthy) && d.state.leader().is_some()) {
+    let healthy = |n: &Node| {
+        matches!(
+            Client::new(n.api).send("GET", "/healthz", &[], Duration::from_secs(1)),
+            Some((200, _))
+        )
+    };
+    if !wait_for(25.0, || {
+        d.nodes.iter().all(healthy) && d.state.leader().is_some()
+    }) {
         d.logs();
         could_not_run("the controllers are not healthy after 25 s");
     }
-    d.site.record.line(&format!("all controllers healthy, {} leads", d.state.leader().unwrap_or_default()));
+    d.site.record.line(&format!(
+        "all controllers healthy, {} leads",
+        d.state.leader().unwrap_or_default()
+    ));
     d
 }
 
@@ -116,7 +152,10 @@
     pub fn end(self) -> i32 {
         for n in &self.nodes {
             if let Some(status) = n.has_ended() {
-                self.site.record.broken(&format!("a controller ended by itself: {} {status}", n.name));
+                self.site.record.broken(&format!(
+                    "a controller ended by itself: {} {status}",
+                    n.name
+                ));
             }
         }
         self.nodes.iter().for_each(Node::kill);
@@ -125,7 +164,14 @@
         for b in &broken {
             println!("broken: {b}");
         }
-        println!("{}", if broken.is_empty() { "the rule held" } else { "the rule was broken" });
+        println!(
+            "{}",
+            if broken.is_empty() {
+                "the rule held"
+            } else {
+                "the rule was broken"
+            }
+        );
         let _ = std::fs::remove_dir_all(&self.folder);
         i32::from(!broken.is_empty())
     }
--- a/review/standins/src/state.rs
+++ b/review/standins/src/state.rs
@@ -55,7 +55,11 @@
 
 impl Bucket {
     fn new(rate: f64) -> Bucket {
-        Bucket { rate, level: rate, at: Instant::now() }
+        Bucket {
+            rate,
+            level: rate,
+            at: Instant::now(),
+        }
     }
     fn take(&mut self, n: f64) -> bool {
         let now = Instant::now();
@@ -149,7 +153,12 @@
     }
 
     pub fn value(&self, key: &str) -> Option<Value> {
-        self.inner.lock().unwrap().keys.get(key).map(|e| e.value.clone())
+        self.inner
+            .lock()
+            .unwrap()
+            .keys
+            .get(key)
+            .map(|e| e.value.clone())
     }
 
     pub fn mark(&self, key: &str) -> Option<u64> {
@@ -160,7 +169,9 @@
     pub fn keys(&self, prefix: &str) -> Vec<(String, usize)> {
         let inner = self.inner.lock().unwrap();
         let under = inner.keys.iter().filter(|(k, _)| k.starts_with(prefix));
-        under.map(|(k, e)| (k.clone(), e.value.json().len())).collect()
+        under
+            .map(|(k, e)| (k.clone(), e.value.json().len()))
+            .collect()
     }
 
     /// The controller that holds the key `leader`.
@@ -174,8 +185,12 @@
             return;
         }
         let now = Instant::now();
-        let over: Vec<u64> =
-            inner.holds.iter().filter(|(_, h)| h.end <= now).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = inner
+            .holds
+            .iter()
+            .filter(|(_, h)| h.end <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in over {
             inner.end_hold(id);
             self.changed.notify_all();
@@ -183,7 +198,12 @@
     }
 
     fn handle(self: &Arc<State>, node: usize, request: &Request) -> Response {
-        let fate = self.rule.lock().unwrap().as_ref().map_or(Fate::Serve, |rule| rule(node, request));
+        let fate = self
+            .rule
+            .lock()
+            .unwrap()
+            .as_ref()
+            .map_or(Fate::Serve, |rule| rule(node, request));
         match fate {
             Fate::Serve => self.execute(node, request),
             Fate::Refuse => Response::new(503, &map! {"error" => "trouble"}),
@@ -226,7 +246,10 @@
             ("GET", ["kv", key]) => match inner.keys.get(*key) {
                 Some(e) => {
                     let tether = e.tether.map_or(Value::Nil, Value::from);
-                    Response::new(200, &map! {"key" => *key, "v" => e.value.clone(), "mark" => e.mark, "tether" => tether})
+                    Response::new(
+                        200,
+                        &map! {"key" => *key, "v" => e.value.clone(), "mark" => e.mark, "tether" => tether},
+                    )
                 }
                 None => Response::new(404, &map! {"tide" => inner.tide}),
             },
@@ -235,13 +258,21 @@
                 Some(ms @ 100..=600_000) => {
                     inner.last_hold += 1;
                     let (id, ttl) = (inner.last_hold, Duration::from_millis(ms));
-                    inner.holds.insert(id, Hold { ttl, end: Instant::now() + ttl });
+                    inner.holds.insert(
+                        id,
+                        Hold {
+                            ttl,
+                            end: Instant::now() + ttl,
+                        },
+                    );
                     Response::new(200, &map! {"tether" => id})
                 }
                 _ => Response::empty(400),
             },
             ("POST", ["holds", rest]) => {
-                let id = rest.strip_suffix("/renew").and_then(|id| id.parse::<u64>().ok());
+                let id = rest
+                    .strip_suffix("/renew")
+                    .and_then(|id| id.parse::<u64>().ok());
                 match id.and_then(|id| inner.holds.get_mut(&id)) {
                     Some(h) => {
                         h.end = Instant::now() + h.ttl;
@@ -287,7 +318,9 @@
                     .iter()
                     .filter(|c| c.mark > since && c.key.starts_with(&under))
                     .map(|c| match &c.value {
-                        Some(v) => map! {"write" => c.key.clone(), "v" => v.clone(), "mark" => c.mark},
+                        Some(v) => {
+                            map! {"write" => c.key.clone(), "v" => v.clone(), "mark" => c.mark}
+                        }
                         None => map! {"drop" => c.key.clone(), "mark" => c.mark},
                     })
                     .collect();
@@ -296,8 +329,16 @@
                 }
             }
             let left = end.saturating_duration_since(Instant::now());
-            let pause = if inner.is_down { Duration::from_millis(50) } else { left };
-            inner = self.changed.wait_timeout(inner, pause.max(Duration::from_millis(1))).unwrap().0;
+            let pause = if inner.is_down {
+                Duration::from_millis(50)
+            } else {
+                left
+            };
+            inner = self
+                .changed
+                .wait_timeout(inner, pause.max(Duration::from_millis(1)))
+                .unwrap()
+                .0;
         }
     }
 }
@@ -305,7 +346,11 @@
 impl Inner {
     fn log(&mut self, key: &str, value: Option<Value>) {
         let mark = self.tide;
-        self.log.push(Change { mark, key: key.to_owned(), value });
+        self.log.push(Change {
+            mark,
+            key: key.to_owned(),
+            value,
+        });
         if self.log.len() > 10_000 {
             self.log.drain(..1);
         }
@@ -313,8 +358,12 @@
 
     fn end_hold(&mut self, id: u64) {
         self.holds.remove(&id);
-        let keys: Vec<String> =
-            self.keys.iter().filter(|(_, e)| e.tether == Some(id)).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, e)| e.tether == Some(id))
+            .map(|(k, _)| k.clone())
+            .collect();
         if !keys.is_empty() {
             self.tide += 1;
             for k in keys {
@@ -330,7 +379,11 @@
         let most = text("most").parse().unwrap_or(1000usize).min(1000);
         let mut pairs = Vec::new();
         let (mut bytes, mut more) = (0, false);
-        for (k, e) in self.keys.range(under.clone()..).take_while(|(k, _)| k.starts_with(&under)) {
+        for (k, e) in self
+            .keys
+            .range(under.clone()..)
+            .take_while(|(k, _)| k.starts_with(&under))
+        {
             if *k <= since {
                 continue;
             }
@@ -341,16 +394,23 @@
             }
             pairs.push(map! {"key" => k.clone(), "v" => e.value.clone(), "mark" => e.mark});
         }
-        Response::new(200, &map! {"pairs" => pairs, "more" => more, "tide" => self.tide})
+        Response::new(
+            200,
+            &map! {"pairs" => pairs, "more" => more, "tide" => self.tide},
+        )
     }
 
     fn transact(&mut self, body: &[u8]) -> Response {
-        let Some(t) = Value::decode(body) else { return Response::empty(400) };
+        let Some(t) = Value::decode(body) else {
+            return Response::empty(400);
+        };
         let (when, apply) = (t.list("when"), t.list("apply"));
         let is_over = apply.len() > self.limits.txn_ops
             || when.len() > 4 * self.limits.txn_ops
             || t.json().len() > 64 * 1024
-            || apply.iter().any(|m| m.get("v").json().len() > self.limits.value_bytes);
+            || apply
+                .iter()
+                .any(|m| m.get("v").json().len() > self.limits.value_bytes);
         if is_over {
             self.refused_by_limits += 1;
             return Response::new(400, &map! {"error" => "over the limits"});
@@ -367,7 +427,9 @@
         }
         let failed: Vec<Value> = when
             .iter()
-            .filter(|c| self.keys.get(&c.text("key")).map_or(0, |e| e.mark) != c.int("mark").unwrap_or(0))
+            .filter(|c| {
+                self.keys.get(&c.text("key")).map_or(0, |e| e.mark) != c.int("mark").unwrap_or(0)
+            })
             .map(|c| c.get("key").clone())
             .collect();
         if !failed.is_empty() {
@@ -380,7 +442,14 @@
             let (write, drop) = (m.text("write"), m.text("drop"));
             if !write.is_empty() {
                 let (value, mark) = (m.get("v").clone(), self.tide);
-                self.keys.insert(write.clone(), Entry { value: value.clone(), mark, tether: m.int("tether") });
+                self.keys.insert(
+                    write.clone(),
+                    Entry {
+                        value: value.clone(),
+                        mark,
+                        tether: m.int("tether"),
+                    },
+                );
                 self.log(&write, Some(value));
             } else if self.keys.remove(&drop).is_some() {
                 self.log(&drop, None);
--- a/review/standins/src/users.rs
+++ b/review/standins/src/users.rs
@@ -25,11 +25,21 @@
 
 impl Site {
     /// Sends one request to a controller; writes it and its answer into the record.
-    pub fn ask(&self, node: usize, method: &str, path: &str, body: &[u8], limit_s: f64) -> Option<(u16, Value)> {
+    pub fn ask(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit_s: f64,
+    ) -> Option<(u16, Value)> {
         let addr = self.nodes()[node].1;
         let answer = Client::new(addr).send(method, path, body, Duration::from_secs_f64(limit_s));
-        let text = answer.as_ref().map_or("no answer".to_owned(), |(s, v)| format!("{s} {}", v.json()));
-        self.record.line(&format!("user {method} {path} at node {node}: {text}"));
+        let text = answer
+            .as_ref()
+            .map_or("no answer".to_owned(), |(s, v)| format!("{s} {}", v.json()));
+        self.record
+            .line(&format!("user {method} {path} at node {node}: {text}"));
         answer
     }
 
@@ -40,7 +50,13 @@
         let begin = self.record.now();
         let mut node = first;
         while self.record.now() < begin + 60.0 {
-            match self.ask(node % self.nodes().len(), "POST", "/api/jobs", &spec.encode(), 5.0) {
+            match self.ask(
+                node % self.nodes().len(),
+                "POST",
+                "/api/jobs",
+                &spec.encode(),
+                5.0,
+            ) {
                 Some((200 | 201, _)) => return true,
                 Some((400 | 422, _)) => return false,
                 _ => std::thread::sleep(Duration::from_millis(1100)),
@@ -73,6 +89,7 @@
 
     pub fn poll(&self, id: &str, node: usize) -> Option<(u16, String)> {
         let path = format!("/api/jobs/{id}");
-        self.ask(node % self.nodes().len(), "GET", &path, &[], 2.0).map(|(s, v)| (s, v.text("bearing")))
+        self.ask(node % self.nodes().len(), "GET", &path, &[], 2.0)
+            .map(|(s, v)| (s, v.text("bearing")))
     }
 }
--- a/review/standins/src/wire.rs
+++ b/review/standins/src/wire.rs
@@ -60,7 +60,10 @@
 impl Value {
     pub fn get(&self, key: &str) -> &Value {
         match self {
-            Value::Map(m) => m.iter().find(|(k, _)| k == key).map_or(&Value::Nil, |p| &p.1),
+            Value::Map(m) => m
+                .iter()
+                .find(|(k, _)| k == key)
+                .map_or(&Value::Nil, |p| &p.1),
             _ => &Value::Nil,
         }
     }
@@ -106,8 +109,10 @@
                 format!("[{}]", parts.join(","))
             }
             Value::Map(m) => {
-                let parts: Vec<String> =
-                    m.iter().map(|(k, v)| format!("{k:?}:{}", v.json())).collect();
+                let parts: Vec<String> = m
+                    .iter()
+                    .map(|(k, v)| format!("{k:?}:{}", v.json()))
+                    .collect();
                 format!("{{{}}}", parts.join(","))
             }
         }
@@ -180,17 +185,25 @@
 fn read_value(b: &mut &[u8]) -> Option<Value> {
     let tag = take(b, 1)?[0];
     let text = |b: &mut &[u8], n: u64| {
-        Some(Value::Text(String::from_utf8(take(b, n as usize)?.to_vec()).ok()?))
+        Some(Value::Text(
+            String::from_utf8(take(b, n as usize)?.to_vec()).ok()?,
+        ))
     };
     let list = |b: &mut &[u8], n: u64| {
-        (0..n).map(|_| read_value(b)).collect::<Option<Vec<_>>>().map(Value::List)
+        (0..n)
+            .map(|_| read_value(b))
+            .collect::<Option<Vec<_>>>()
+            .map(Value::List)
     };
     let map = |b: &mut &[u8], n: u64| {
         let pair = |b: &mut &[u8]| match read_value(b)? {
             Value::Text(k) => Some((k, read_value(b)?)),
             _ => None,
         };
-        (0..n).map(|_| pair(b)).collect::<Option<Vec<_>>>().map(Value::Map)
+        (0..n)
+            .map(|_| pair(b))
+            .collect::<Option<Vec<_>>>()
+            .map(Value::Map)
     };
     Some(match tag {
         0..=0x7f => Value::Int(i128::from(tag)),
@@ -240,13 +253,21 @@
 
 impl Response {
     pub fn new(status: u16, body: &Value) -> Response {
-        Response { status, body: body.encode(), silent: false }
+        Response {
+            status,
+            body: body.encode(),
+            silent: false,
+        }
     }
     pub fn empty(status: u16) -> Response {
         Response::new(status, &Value::Map(Vec::new()))
     }
     pub fn silent() -> Response {
-        Response { status: 0, body: Vec::new(), silent: true }
+        Response {
+            status: 0,
+            body: Vec::new(),
+            silent: true,
+        }
     }
 }
 
@@ -282,8 +303,12 @@
             .filter_map(|p| p.split_once('='))
             .map(|(k, v)| (k.to_owned(), v.to_owned()))
             .collect();
-        let request =
-            Request { method: method.to_owned(), path: path.to_owned(), query, body };
+        let request = Request {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            query,
+            body,
+        };
         let response = handler(request);
         if response.silent {
             return Ok(());
@@ -324,7 +349,10 @@
             headers.insert(k.trim().to_lowercase(), v.trim().to_lowercase());
         }
     }
-    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
     Ok((first.trim_end().to_owned(), headers, body))
@@ -338,11 +366,20 @@
 
 impl Client {
     pub fn new(addr: SocketAddr) -> Client {
-        Client { addr, connection: None }
+        Client {
+            addr,
+            connection: None,
+        }
     }
 
     /// Sends a request. `None`: no answer within `limit`, or the connection failed.
-    pub fn send(&mut self, method: &str, path: &str, body: &[u8], limit: Duration) -> Option<(u16, Value)> {
+    pub fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> Option<(u16, Value)> {
         let end = Instant::now() + limit;
         let result = self.exchange(method, path, body, end);
         match result {
@@ -359,8 +396,17 @@
         }
     }
 
-    fn exchange(&mut self, method: &str, path: &str, body: &[u8], end: Instant) -> io::Result<(u16, Vec<u8>, bool)> {
-        let left = || end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    fn exchange(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        end: Instant,
+    ) -> io::Result<(u16, Vec<u8>, bool)> {
+        let left = || {
+            end.saturating_duration_since(Instant::now())
+                .max(Duration::from_millis(1))
+        };
         if let Some(c) = &self.connection {
             // A connection that the server has closed meanwhile is replaced.
             c.get_ref().set_nonblocking(true)?;
@@ -388,7 +434,15 @@
         reader.get_mut().write_all(&out)?;
         reader.get_ref().set_read_timeout(Some(left()))?;
         let (first, headers, body) = read_message(reader)?;
-        let status = first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
-        Ok((status, body, headers.get("connection").is_some_and(|c| c == "close")))
+        let status = first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0);
+        Ok((
+            status,
+            body,
+            headers.get("connection").is_some_and(|c| c == "close"),
+        ))
     }
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -123,11 +123,21 @@
     /// Tasks that are on the machine now.
     pub fn on_machine(&self) -> Vec<(String, u64)> {
         let inner = self.inner.lock().unwrap();
-        inner.tasks.iter().filter(|(_, t)| t.on_machine).map(|(k, _)| k.clone()).collect()
+        inner
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.on_machine)
+            .map(|(k, _)| k.clone())
+            .collect()
     }
 
     pub fn knows(&self, oar: &str) -> bool {
-        self.inner.lock().unwrap().tasks.keys().any(|(o, _)| o == oar)
+        self.inner
+            .lock()
+            .unwrap()
+            .tasks
+            .keys()
+            .any(|(o, _)| o == oar)
     }
 
     pub fn watch(&self) -> u64 {
@@ -158,7 +168,8 @@
                 Value::Map(m)
             })
             .collect();
-        let left = |at: Instant| Value::from(at.saturating_duration_since(Instant::now()).as_secs_f64());
+        let left =
+            |at: Instant| Value::from(at.saturating_duration_since(Instant::now()).as_secs_f64());
         let recall = self.recall.lock().unwrap().map_or(Value::Nil, left);
         map! {
             "vessel" => self.id.clone(), "address" => self.address.lock().unwrap().clone(),
@@ -196,7 +207,9 @@
 
     /// `POST /commands`.
     pub fn commands(&self, body: &[u8]) -> Response {
-        let Some(message) = Value::decode(body) else { return Response::empty(400) };
+        let Some(message) = Value::decode(body) else {
+            return Response::empty(400);
+        };
         let (Some(helm), Some(watch)) = (message.int("helm"), message.int("watch")) else {
             return Response::empty(400);
         };
@@ -233,7 +246,9 @@
                     let task = self.new_task(inner, &oar);
                     inner.changed = true;
                     if let Some(w) = task.wreck {
-                        self.site.record.line(&format!("{} refuses {oar} launch={launch}: {w}", self.id));
+                        self.site
+                            .record
+                            .line(&format!("{} refuses {oar} launch={launch}: {w}", self.id));
                     }
                     inner.tasks.insert(key, task);
                 }
@@ -247,11 +262,14 @@
                         if t.bearing == "ended" || (t.bearing == "saving" && slack > 0.0) {
                         } else if saves {
                             t.bearing = "saving";
-                            t.until = Some(Instant::now() + Duration::from_secs_f64(t.spec.float("stow_s")));
+                            t.until = Some(
+                                Instant::now() + Duration::from_secs_f64(t.spec.float("stow_s")),
+                            );
                             inner.changed = true;
                         } else {
                             exited = t.on_machine;
-                            (t.bearing, t.wreck, t.until, t.on_machine) = ("ended", Some("halted"), None, false);
+                            (t.bearing, t.wreck, t.until, t.on_machine) =
+                                ("ended", Some("halted"), None, false);
                             inner.changed = true;
                         }
                     }
@@ -279,12 +297,22 @@
             spec: Value::Nil,
         };
         let job = oar.split('/').next().unwrap_or("");
-        let Some(spec) = self.site.spec(job) else { return refused("no_such") };
-        let index: u64 = oar.split('/').nth(1).and_then(|i| i.parse().ok()).unwrap_or(u64::MAX);
+        let Some(spec) = self.site.spec(job) else {
+            return refused("no_such");
+        };
+        let index: u64 = oar
+            .split('/')
+            .nth(1)
+            .and_then(|i| i.parse().ok())
+            .unwrap_or(u64::MAX);
         if index >= spec.int("oars").unwrap_or(0) {
             return refused("no_such");
         }
-        let live: Vec<_> = inner.tasks.iter().filter(|(_, t)| t.bearing != "ended").collect();
+        let live: Vec<_> = inner
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.bearing != "ended")
+            .collect();
         if live.iter().any(|((o, _), _)| o == oar) {
             return refused("busy");
         }
@@ -321,11 +349,17 @@
                 return;
             }
             if hung > Duration::from_millis(50) {
-                inner.tasks.values_mut().for_each(|t| t.until = t.until.map(|u| u + hung));
+                inner
+                    .tasks
+                    .values_mut()
+                    .for_each(|t| t.until = t.until.map(|u| u + hung));
             }
             let now = Instant::now();
             if now > inner.answered_sent + Duration::from_secs_f64(self.site.lease_s) {
-                self.site.record.line(&format!("{} lease over, watch {} ends", self.id, inner.watch));
+                self.site.record.line(&format!(
+                    "{} lease over, watch {} ends",
+                    self.id, inner.watch
+                ));
                 self.kill_all(&mut inner);
                 inner.watch += 1;
                 inner.answered_sent = now;
@@ -343,7 +377,9 @@
                 .collect();
             for (oar, launch) in due {
                 let key = (oar.clone(), launch);
-                let Some(bearing) = inner.tasks.get(&key).map(|t| t.bearing) else { continue };
+                let Some(bearing) = inner.tasks.get(&key).map(|t| t.bearing) else {
+                    continue;
+                };
                 inner.changed = true;
                 if bearing == "pulling" {
                     let cargo = inner.tasks[&key].spec.text("cargo");
@@ -378,8 +414,12 @@
                 }
             }
             // A gang starts once all its tasks wait.
-            let waiting: Vec<(String, u64)> =
-                inner.tasks.iter().filter(|(_, t)| t.bearing == "waiting").map(|(k, _)| k.clone()).collect();
+            let waiting: Vec<(String, u64)> = inner
+                .tasks
+                .iter()
+                .filter(|(_, t)| t.bearing == "waiting")
+                .map(|(k, _)| k.clone())
+                .collect();
             for (oar, launch) in waiting {
                 if self.site.gang_is_complete(&oar, launch) {
                     let run_s = self.site.run_s(&oar);
@@ -432,7 +472,8 @@
                 Some((200, a)) => {
                     let mut inner = self.inner.lock().unwrap();
                     let helm = a.int("helm");
-                    if helm.is_some_and(|h| h >= inner.helm) && inner.watch == watch && !inner.gone {
+                    if helm.is_some_and(|h| h >= inner.helm) && inner.watch == watch && !inner.gone
+                    {
                         let helm = helm.unwrap_or(0);
                         inner.changed |= helm > inner.helm;
                         inner.helm = helm;
@@ -440,17 +481,24 @@
                         let orders = a.list("orders");
                         if !orders.is_empty() {
                             let what: Vec<String> = orders.iter().map(Value::json).collect();
-                            self.site.record.line(&format!("{} /hello answered helm={helm} {}", self.id, what.join(" ")));
+                            self.site.record.line(&format!(
+                                "{} /hello answered helm={helm} {}",
+                                self.id,
+                                what.join(" ")
+                            ));
                         }
                         self.execute(&mut inner, &orders);
                     }
                     drop(inner);
-                    let period = self.site.report_s * (0.75 + self.site.random(500) as f64 / 1000.0);
+                    let period =
+                        self.site.report_s * (0.75 + self.site.random(500) as f64 / 1000.0);
                     let due = sent + Duration::from_secs_f64(period);
                     while Instant::now() < due {
                         std::thread::sleep(Duration::from_millis(20));
                         let inner = self.inner.lock().unwrap();
-                        if inner.gone || (inner.changed && sent.elapsed() > Duration::from_millis(500)) {
+                        if inner.gone
+                            || (inner.changed && sent.elapsed() > Duration::from_millis(500))
+                        {
                             break;
                         }
                     }
