--- a/review/standins/src/start.rs
+++ b/review/standins/src/start.rs
@@ -25,9 +25,15 @@
     folder: PathBuf,
 }
 
+/// The folder of this run for settings and logs.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 /// Ends a case that couldn't run.
 pub fn could_not_run(why: &str) -> ! {
     eprintln!("could not run: {why}");
+    let _ = std::fs::remove_dir_all(folder());
     std::process::exit(2)
 }
 
@@ -57,7 +63,7 @@
         std::thread::sleep(Duration::from_secs(limit));
         could_not_run("not over in time");
     });
-    let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+    let folder = folder();
     if std::fs::create_dir_all(&folder).is_err() {
         could_not_run("no temporary folder");
     }
