--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -338,11 +338,30 @@
         }
     }
 
+    /// Kills all tasks and begins the next session once the lease is over.
+    fn end_session_if_due(&self, inner: &mut Inner, now: Instant) {
+        if now > inner.answered_sent + Duration::from_secs_f64(self.site.lease_s) {
+            self.site.record.line(&format!(
+                "{} lease over, watch {} ends",
+                self.id, inner.watch
+            ));
+            self.kill_all(inner);
+            inner.watch += 1;
+            inner.answered_sent = now;
+            inner.changed = true;
+        }
+    }
+
     fn run_tasks(&self) {
         loop {
             std::thread::sleep(Duration::from_millis(20));
             let hung_since = Instant::now();
-            self.wait_while_hanging();
+            // A machine that hangs goes on only within its lease: past it, its tasks are gone.
+            while self.trouble.lock().unwrap().hangs {
+                std::thread::sleep(Duration::from_millis(20));
+                let mut inner = self.inner.lock().unwrap();
+                self.end_session_if_due(&mut inner, Instant::now());
+            }
             let hung = hung_since.elapsed();
             let mut inner = self.inner.lock().unwrap();
             if inner.gone {
@@ -355,16 +374,7 @@
                     .for_each(|t| t.until = t.until.map(|u| u + hung));
             }
             let now = Instant::now();
-            if now > inner.answered_sent + Duration::from_secs_f64(self.site.lease_s) {
-                self.site.record.line(&format!(
-                    "{} lease over, watch {} ends",
-                    self.id, inner.watch
-                ));
-                self.kill_all(&mut inner);
-                inner.watch += 1;
-                inner.answered_sent = now;
-                inner.changed = true;
-            }
+            self.end_session_if_due(&mut inner, now);
             let sick = self.trouble.lock().unwrap().sick;
             let due: Vec<(String, u64)> = inner
                 .tasks
