Attempts are acknowledged only under a token above that of every start pushed before

Cause: an agent executes a pushed command whenever its token and epoch match, and knows an attempt only until it is acknowledged. The leader acknowledged attempts under the very token under which it had pushed their start, as soon as the push was answered. From then on until the end of the term or epoch, nothing at the agent told the repetition from a new start.

Change: a term has several tokens. Every write of a leader is conditional on the leader key, so its revision lies between this leader's grant and the next one's: it is a valid higher token, known without a further request, and leaders of the version before go on from the same counter. A response that acknowledges attempts carries such a token if a start was pushed under the agent's present one; the agent sees the token and forgets the attempt in one step, and refuses (409) every earlier push for good, also after failovers. Only responses raise an agent's token, and only while no push awaits its answer, so that no message overtakes another one with a lower token. If nothing else is written for a second, the leader writes the key `term`. Attempts whose start may still be under way are no longer kept until the epoch's end, for a higher token ends such a start as well. The agents' monitor and the check for a later leader compare with the term.

Evidence: the simulator's network repeats all pushes that were executed (`repeat_commands`).

--- a/crates/hopyoke-scheduler/src/autoscale/inventory.rs
+++ b/crates/hopyoke-scheduler/src/autoscale/inventory.rs
@@ -35,6 +35,7 @@
                     instance.machine_type.clone(),
                     instance.zone.clone(),
                     instance.spot,
+                    self.token,
                     now,
                 )
             });
--- a/crates/hopyoke-scheduler/src/autoscale/scale_out.rs
+++ b/crates/hopyoke-scheduler/src/autoscale/scale_out.rs
@@ -159,6 +159,7 @@
                             offer.machine_type.clone(),
                             offer.zone.clone(),
                             offer.spot,
+                            self.token,
                             now,
                         )
                     });
--- a/crates/hopyoke-scheduler/src/ledger/machine.rs
+++ b/crates/hopyoke-scheduler/src/ledger/machine.rs
@@ -2,6 +2,7 @@
 
 use super::allocation::Allocation;
 use crate::autoscale::provisioning::ProvisioningState;
+use crate::reconcile::command_tokens::AgentToken;
 use crate::resources::Resources;
 use hopyoke_protocol::user::{JobKind, Priority};
 use hopyoke_types::Micros;
@@ -75,6 +76,8 @@
     pub sequence: u64,
     /// Highest fencing token that its agent has reported.
     pub token_seen: FencingToken,
+    /// Token of this leader's commands to its agent.
+    pub(crate) agent_token: AgentToken,
     /// Requested by this leader, so no earlier leader can have sent it commands.
     pub created_by_this_leader: bool,
     /// Its epoch began after this leader's token was granted, so no earlier leader can have sent it
@@ -132,12 +135,13 @@
 }
 
 impl Machine {
-    /// Creates a machine that is being provisioned and is not registered.
+    /// Creates a machine that is being provisioned and is not registered, in the ledger of the leader with `token`.
     pub fn new(
         id: MachineId,
         machine_type: String,
         zone: String,
         spot: bool,
+        token: FencingToken,
         now: Micros,
     ) -> Machine {
         Machine {
@@ -150,6 +154,7 @@
             epoch: 0,
             sequence: 0,
             token_seen: FencingToken(0),
+            agent_token: AgentToken::new(token),
             created_by_this_leader: false,
             epoch_began_after_grant: false,
             last_seen: now,
--- a/crates/hopyoke-scheduler/src/lib.rs
+++ b/crates/hopyoke-scheduler/src/lib.rs
@@ -47,6 +47,7 @@
 use crate::persist::registry::MachineRegistry;
 use crate::placement::reservation::Reservations;
 use crate::placement_schedule::PlacementSchedule;
+use crate::reconcile::command_tokens::CommandTokens;
 use crate::reconcile::failover::Reconciliation;
 use crate::reconcile::probes::FailoverProbes;
 use crate::reconcile::unresponsive::{PartitionedZones, ReceiveHealth};
@@ -91,6 +92,8 @@
         machine: MachineId,
         /// Address on which the agent listens.
         address: std::net::SocketAddr,
+        /// Fencing token of the commands.
+        token: FencingToken,
         /// Epoch for which the commands are meant. An agent in another epoch rejects them.
         epoch: u64,
         /// Commands to execute.
@@ -110,7 +113,8 @@
     pub cfg: SchedulerConfig,
     /// Parameters that operators may tune at run time.
     pub tuning: Tuning,
-    /// Fencing token of this leader: the revision at which its shards were granted.
+    /// Fencing token of this leader's writes, and the lowest one of its commands: the revision at which its shards were
+    /// granted.
     pub token: FencingToken,
     /// Unfinished jobs.
     pub jobs: BTreeMap<JobId, Job>,
@@ -129,6 +133,7 @@
     sequence_number: u64,
     /// Jobs whose records were removed from `job/`.
     tombstones: Tombstones,
+    command_tokens: CommandTokens,
     reconciliation: Reconciliation,
     probes: FailoverProbes,
     receive_health: ReceiveHealth,
@@ -207,6 +212,7 @@
             next_fleet_log_at: Micros::ZERO,
             sequence_number: 0,
             tombstones: Tombstones::default(),
+            command_tokens: CommandTokens::new(token),
             reconciliation: Reconciliation::new(now, false),
             probes: FailoverProbes::default(),
             receive_health: ReceiveHealth::for_new_leader(now),
@@ -241,6 +247,7 @@
                 p.machine_type.clone(),
                 p.zone.clone(),
                 p.spot,
+                self.token,
                 now,
             );
             (m.is_registered, m.inherited) = (true, true);
--- a/crates/hopyoke-scheduler/src/persist/batch.rs
+++ b/crates/hopyoke-scheduler/src/persist/batch.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::{EndRecord, JobRecord};
 use hopyoke_run_times::{Page, PageKey};
-use hopyoke_types::{JobId, MachineId, ModRevision};
+use hopyoke_types::{FencingToken, JobId, MachineId, ModRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -41,6 +41,11 @@
         /// Key of the page, without the prefix `fleet/`.
         key: String,
     },
+    /// Replaces the record of the leader's term, for the revision of the write alone, which is a new token for commands.
+    Term {
+        /// New value: the fencing token of the term.
+        token: FencingToken,
+    },
     /// Replaces a page of learned run times.
     LearnedRunTimes {
         /// Key of the page.
--- a/crates/hopyoke-scheduler/src/persist/records.rs
+++ b/crates/hopyoke-scheduler/src/persist/records.rs
@@ -155,6 +155,9 @@
                 self.cfg.max_value_bytes,
             );
         }
+        if builder.writes.is_empty() && self.command_tokens.is_write_due(now) {
+            builder.push(Write::Term { token: self.token }, 1, 0);
+        }
         if builder.writes.is_empty() {
             return None;
         }
@@ -284,8 +287,9 @@
         result: Result<ModRevision, BatchError>,
         now: Micros,
     ) {
-        if result.is_err() {
-            self.writes.retry_not_before = now + Micros::from_millis(200);
+        match &result {
+            Ok(revision) => self.command_tokens.write_applied(FencingToken(revision.0)),
+            Err(_) => self.writes.retry_not_before = now + Micros::from_millis(200),
         }
         for write in batch.writes {
             match write {
@@ -330,6 +334,7 @@
                 Write::Page { key, page, .. } => {
                     self.page_write_completed(&key, page.as_ref(), &result)
                 }
+                Write::Term { .. } => {}
                 Write::LearnedRunTimes { key, .. } => {
                     self.learned_page_written(key, result.is_ok())
                 }
--- a/crates/hopyoke-scheduler/src/reconcile/commands.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/commands.rs
@@ -19,6 +19,7 @@
         answers: Option<(u64, u64)>,
         now: Micros,
     ) -> Vec<Command> {
+        let may_acknowledge = self.may_acknowledge(id, answers.is_some(), now);
         let Some(m) = self.machines.get_mut(id) else {
             return Vec::new();
         };
@@ -36,7 +37,10 @@
             let is_below_limit = others.len() < MAX_COMMANDS_PER_RESPONSE;
             match allocation.state {
                 AllocationState::Ended(exit_reason) => {
-                    if is_below_limit && may_acknowledge(allocation, exit_reason, job, task.index) {
+                    if may_acknowledge
+                        && is_below_limit
+                        && is_result_recorded(exit_reason, job, task.index)
+                    {
                         let task = name;
                         others.push(Command::Acknowledge { task, attempt });
                     }
@@ -74,6 +78,31 @@
         stops
     }
 
+    /// Returns whether a message to an agent may acknowledge attempts that have ended, so that the agent forgets them.
+    ///
+    /// If a start was pushed under the agent's current token, the token is raised first. Only responses raise it, and only
+    /// while no push awaits its answer: otherwise one message would overtake another with a lower token, which the agent
+    /// would refuse.
+    fn may_acknowledge(&mut self, id: &MachineId, is_response: bool, now: Micros) -> bool {
+        let Some(m) = self.machines.get_mut(id) else {
+            return false;
+        };
+        if m.agent_token.may_acknowledge() {
+            return true;
+        }
+        let jobs = &self.jobs;
+        let is_any_due = m.allocations().iter().any(|((task, _), allocation)| {
+            let AllocationState::Ended(exit_reason) = allocation.state else {
+                return false;
+            };
+            is_result_recorded(exit_reason, jobs.get(&task.job), task.index)
+        });
+        is_response
+            && is_any_due
+            && !m.push_in_flight
+            && m.agent_token.raise(&mut self.command_tokens, now)
+    }
+
     /// Pushes new commands instead of waiting for the next heartbeat. Acknowledgements alone are not
     /// pushed.
     pub(crate) fn push_commands(&mut self, now: Micros) {
@@ -104,9 +133,13 @@
                     .any(|o| !matches!(o, Command::Acknowledge { .. }))
             {
                 m.push_in_flight = true;
+                if commands.iter().any(|c| matches!(c, Command::Start { .. })) {
+                    m.agent_token.start_pushed();
+                }
                 self.actions.push_back(Action::PushCommands {
                     machine: id,
                     address,
+                    token: m.agent_token.current(),
                     epoch: m.epoch,
                     commands,
                 });
@@ -183,21 +216,14 @@
     }
 }
 
-/// Returns true if the end of an attempt may be acknowledged: its result is stored, and its start can't be
-/// executed late. Agents forget acknowledged attempts, so a late start would run the attempt again.
-fn may_acknowledge(
-    allocation: &Allocation,
-    exit_reason: ExitReason,
-    job: Option<&Job>,
-    index: u32,
-) -> bool {
-    let is_recorded = match job {
+/// Returns true if the result of an ended attempt is stored, or need not be.
+fn is_result_recorded(exit_reason: ExitReason, job: Option<&Job>, index: u32) -> bool {
+    match job {
         Some(j) if exit_reason == ExitReason::Done && j.spec.kind != JobKind::Service => {
             j.recorded_done.contains(index)
         }
         _ => true,
-    };
-    is_recorded && !allocation.outcome_unknown && !allocation.push_in_flight
+    }
 }
 
 /// Returns the commands that stop an attempt that no heartbeat has confirmed.
--- a/crates/hopyoke-scheduler/src/reconcile/heartbeats.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/heartbeats.rs
@@ -9,7 +9,7 @@
 /// Response to a heartbeat.
 #[derive(Debug, PartialEq)]
 pub struct HeartbeatReply {
-    /// Fencing token of this leader.
+    /// Fencing token of the commands.
     pub token: FencingToken,
     /// False if the heartbeat was ignored: it was not newer than earlier ones, or its machine is deleted.
     pub is_fresh: bool,
@@ -40,13 +40,19 @@
                 now,
             );
         }
+        let machine = self.machines.get(&heartbeat.machine);
         HeartbeatReply {
-            token: self.token,
+            token: machine.map_or(self.token, |m| m.agent_token.current()),
             is_fresh,
             commands,
         }
     }
 
+    /// Returns whether a token that an agent has seen belongs to a later leader.
+    pub fn is_superseded_by(&self, token: FencingToken) -> bool {
+        self.command_tokens.is_superseded_by(token)
+    }
+
     /// Merges a heartbeat into the ledger and returns true, or returns false if it is to be ignored.
     ///
     /// `renews_lease` is true for a heartbeat proper and false for the status in the answer to a push.
@@ -70,6 +76,7 @@
                 heartbeat.machine_type.clone(),
                 heartbeat.zone.clone(),
                 heartbeat.spot,
+                self.token,
                 now,
             );
             m.lease_end = now + self.cfg.lease_bound();
--- a/crates/hopyoke-scheduler/src/reconcile/mod.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/mod.rs
@@ -1,6 +1,7 @@
 //! Reconciliation of the ledger with agents' heartbeats and with the records that earlier leaders wrote.
 
 mod attempts;
+pub(crate) mod command_tokens;
 mod commands;
 pub(crate) mod failover;
 pub(crate) mod heartbeats;
--- a/crates/hopyoke-scheduler/src/reconcile/probes.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/probes.rs
@@ -59,6 +59,7 @@
             self.actions.push_back(Action::PushCommands {
                 machine: id,
                 address,
+                token: m.agent_token.current(),
                 epoch,
                 commands: Vec::new(),
             });
--- a/crates/hopyoke-simulator/src/agent/heartbeats.rs
+++ b/crates/hopyoke-simulator/src/agent/heartbeats.rs
@@ -85,6 +85,20 @@
         });
     }
 
+    /// Schedules a heartbeat that reports a higher token, at most one in half of a lease.
+    fn report_token_change(&mut self, id: &MachineId) {
+        let (now, min_interval) = (self.now, Micros(self.config.lease.0 / 2));
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        if m.token_change_reported_at
+            .is_none_or(|t| now >= t + min_interval)
+        {
+            m.token_change_reported_at = Some(now);
+            self.schedule_heartbeat(id);
+        }
+    }
+
     /// Sends a heartbeat unless one is in flight. A machine that hangs sends it when it resumes.
     fn send_heartbeat(&mut self, id: &MachineId) {
         if let Some(t) = self.paused_until(id) {
@@ -207,11 +221,11 @@
                     return;
                 };
                 if token >= m.token {
-                    let is_new_leader = token > m.token;
+                    let is_higher = token > m.token;
                     m.token = token;
                     m.lease_started_at = sent;
-                    if is_new_leader {
-                        self.schedule_heartbeat(id);
+                    if is_higher {
+                        self.report_token_change(id);
                     }
                     self.execute_commands(id, commands);
                 }
--- a/crates/hopyoke-simulator/src/agent/mod.rs
+++ b/crates/hopyoke-simulator/src/agent/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) sequence: u64,
     /// Highest fencing token received so far.
     pub(crate) token: FencingToken,
+    /// When a higher token last led to a heartbeat. `None` if none has.
+    pub(crate) token_change_reported_at: Option<Micros>,
     /// When the cloud preempts the machine, once that has been announced.
     pub(crate) preemption_at: Option<Micros>,
     pub(crate) tasks: BTreeMap<(TaskId, Attempt), Task>,
@@ -107,6 +109,7 @@
             epoch: 1,
             sequence: 0,
             token: FencingToken(0),
+            token_change_reported_at: None,
             preemption_at: None,
             tasks: BTreeMap::new(),
             images: Vec::new(),
--- a/crates/hopyoke-simulator/src/digest.rs
+++ b/crates/hopyoke-simulator/src/digest.rs
@@ -60,6 +60,7 @@
         Value::EndRecord(end) => hopyoke_protocol::encode(end),
         Value::RegistryPage(page) => hopyoke_protocol::encode(page),
         Value::RunTimesPage(page) => hopyoke_protocol::encode(page),
+        Value::Term(token) => hopyoke_protocol::encode(token),
         Value::LeaseHolder(node) => hopyoke_protocol::encode(&(*node as u64)),
     }
 }
--- a/crates/hopyoke-simulator/src/kv_store.rs
+++ b/crates/hopyoke-simulator/src/kv_store.rs
@@ -4,7 +4,7 @@
 use super::digest::Channel;
 use hopyoke_protocol::worker::Heartbeat;
 use hopyoke_scheduler::{EndRecord, JobRecord, RegistryPage};
-use hopyoke_types::Micros;
+use hopyoke_types::{FencingToken, Micros};
 use std::collections::BTreeMap;
 
 /// A stored value.
@@ -14,6 +14,7 @@
     EndRecord(EndRecord),
     RegistryPage(RegistryPage),
     RunTimesPage(hopyoke_run_times::Page),
+    Term(FencingToken),
     LeaseHolder(usize),
 }
 
--- a/crates/hopyoke-simulator/src/node/commands.rs
+++ b/crates/hopyoke-simulator/src/node/commands.rs
@@ -1,12 +1,24 @@
 //! Commands that a leader pushes to agents, in addition to those in heartbeat responses.
 
 use crate::{Host, Simulation};
-use hopyoke_protocol::worker::Command;
+use hopyoke_protocol::worker::{Command, Heartbeat};
 use hopyoke_types::{FencingToken, MachineId, Micros};
 
 /// Duration after which a push without a response counts as having an unknown outcome.
 const PUSH_TIMEOUT: Micros = Micros::from_secs(3);
 
+/// Interval at which the network repeats executed pushes while that fault lasts.
+const REPETITION_INTERVAL: Micros = Micros::from_millis(500);
+
+/// Pushed commands that an agent has executed.
+#[derive(Clone)]
+pub(crate) struct ExecutedPush {
+    machine: MachineId,
+    token: FencingToken,
+    epoch: u64,
+    commands: Vec<Command>,
+}
+
 /// Commands in flight to an agent.
 pub(super) struct PushDelivery {
     pub(super) node: usize,
@@ -81,11 +93,10 @@
             // The commands reach the agent whichever node leads by then, and their response is dropped.
             return self.schedule_on_machine(&machine.clone(), delay, move |sim| {
                 sim.log(|| format!("{machine} receives delayed commands of token {}", token.0));
-                sim.receive_pushed_commands(&machine, token, epoch, commands);
+                sim.receive_push_once(&machine, token, epoch, commands);
             });
         }
-        let Some((executed, heartbeat)) =
-            self.receive_pushed_commands(&machine, token, epoch, commands)
+        let Some((executed, heartbeat)) = self.receive_push_once(&machine, token, epoch, commands)
         else {
             return;
         };
@@ -109,4 +120,62 @@
             });
         });
     }
+
+    /// Handles the first delivery of a push at its agent, and keeps the push for repetitions if it is executed.
+    fn receive_push_once(
+        &mut self,
+        machine: &MachineId,
+        token: FencingToken,
+        epoch: u64,
+        commands: Vec<Command>,
+    ) -> Option<(bool, Heartbeat)> {
+        let received = self.receive_pushed_commands(machine, token, epoch, commands.clone());
+        if !commands.is_empty() && matches!(received, Some((true, _))) {
+            self.executed_pushes.push(ExecutedPush {
+                machine: machine.clone(),
+                token,
+                epoch,
+                commands,
+            });
+        }
+        received
+    }
+
+    /// Delivers that share of all pushes executed so far once more, and repeats this until the given time. Nobody
+    /// receives the responses.
+    pub(crate) fn repeat_executed_pushes(&mut self, percent: u64, until: Micros) {
+        for push in self.executed_pushes.clone() {
+            if self.random(0, 99) >= percent {
+                continue;
+            }
+            let delay = Micros(self.random(0, REPETITION_INTERVAL.0));
+            self.schedule_on_machine(&push.machine.clone(), delay, move |sim| {
+                sim.receive_repeated_push(push);
+            });
+        }
+        if self.now + REPETITION_INTERVAL < until {
+            self.after(REPETITION_INTERVAL, move |sim| {
+                sim.repeat_executed_pushes(percent, until)
+            });
+        }
+    }
+
+    fn receive_repeated_push(&mut self, push: ExecutedPush) {
+        let ExecutedPush {
+            machine,
+            token,
+            epoch,
+            commands,
+        } = push;
+        self.log(|| format!("{machine} receives a repeated push of token {token}: {commands:?}"));
+        let received = self.receive_pushed_commands(&machine, token, epoch, commands);
+        if let Some((false, heartbeat)) = received {
+            self.log(|| {
+                format!(
+                    "{machine} refuses it: it has seen token {}",
+                    heartbeat.token
+                )
+            });
+        }
+    }
 }
--- a/crates/hopyoke-simulator/src/node/heartbeats.rs
+++ b/crates/hopyoke-simulator/src/node/heartbeats.rs
@@ -32,7 +32,7 @@
         let result = match &mut self.nodes[node].leadership {
             // Nodes reject longer bodies.
             _ if heartbeat_chars(&heartbeat) > MAX_HEARTBEAT_CHARS => Err(None),
-            Some(l) if lease_is_valid && heartbeat.token <= l.scheduler.token => {
+            Some(l) if lease_is_valid && !l.scheduler.is_superseded_by(heartbeat.token) => {
                 let (entities_before, cycles_before) =
                     (l.scheduler.entities_visited(), l.scheduler.cycles());
                 let response = l.scheduler.heartbeat(&heartbeat, now);
--- a/crates/hopyoke-simulator/src/node/mod.rs
+++ b/crates/hopyoke-simulator/src/node/mod.rs
@@ -1,6 +1,6 @@
 //! Nodes that run the real scheduler, with simulated leadership, store access and messages that follow the daemon's.
 
-mod commands;
+pub(crate) mod commands;
 mod election;
 mod failover;
 mod heartbeats;
--- a/crates/hopyoke-simulator/src/node/persist.rs
+++ b/crates/hopyoke-simulator/src/node/persist.rs
@@ -69,6 +69,9 @@
                     None => Mutation::Delete(format!("fleet/{key}")),
                 });
             }
+            Write::Term { token } => {
+                mutations.push(Mutation::Put("term".into(), Value::Term(*token), None));
+            }
             Write::LearnedRunTimes { key, page } => mutations.push(Mutation::Put(
                 format!("learn/{key}"),
                 Value::RunTimesPage(page.clone()),
--- a/crates/hopyoke-simulator/src/node/scheduling.rs
+++ b/crates/hopyoke-simulator/src/node/scheduling.rs
@@ -133,14 +133,14 @@
             self.record_violation("audit", error);
         }
         for action in outputs.actions {
-            self.execute_action(node, process, outputs.token, action);
+            self.execute_action(node, process, action);
         }
         if let Some(batch) = outputs.batch {
             self.commit_batch(node, process, outputs.token, batch);
         }
     }
 
-    fn execute_action(&mut self, node: usize, process: u64, token: FencingToken, action: Action) {
+    fn execute_action(&mut self, node: usize, process: u64, action: Action) {
         match action {
             Action::ScaleOut {
                 request,
@@ -174,6 +174,7 @@
             Action::ReloadRecord { job } => self.reload_record(node, process, job),
             Action::PushCommands {
                 machine,
+                token,
                 epoch,
                 commands,
                 ..
--- a/crates/hopyoke-simulator/src/scenario/store_faults.rs
+++ b/crates/hopyoke-simulator/src/scenario/store_faults.rs
@@ -28,6 +28,11 @@
         "outage" => sim.begin_outage(seconds(next_word(words))),
         "lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports"
         | "late_commands" => open_fault_window(sim, name, words),
+        "repeat_commands" => {
+            let percent = number(next_word(words)) as u64;
+            let until = fault_end(sim, words);
+            sim.repeat_executed_pushes(percent, until);
+        }
         _ => return false,
     }
     true
--- a/crates/hopyoke-simulator/src/simulation.rs
+++ b/crates/hopyoke-simulator/src/simulation.rs
@@ -6,6 +6,7 @@
 use crate::event_queue::EventQueue;
 use crate::kv_store::{FaultWindow, HeartbeatsForNextLeader, KvStore};
 use crate::limits::StoreLimits;
+use crate::node::commands::ExecutedPush;
 use crate::node::{Leadership, Node};
 use crate::users::UserBehavior;
 use crate::{DeliveryDelay, JobGroundTruth, NetworkPartition};
@@ -76,6 +77,8 @@
     pub(crate) duplicated_heartbeats: FaultWindow,
     /// Share of the pushed commands that are delayed without a response.
     pub(crate) delayed_commands: FaultWindow,
+    /// Pushed commands that agents have executed, which the network may repeat.
+    pub(crate) executed_pushes: Vec<ExecutedPush>,
     /// Heartbeats that are held back for the next leader.
     pub(crate) heartbeats_for_next_leader: HeartbeatsForNextLeader,
     /// End of the last fault injected so far.
@@ -163,6 +166,7 @@
             connections_refused_until: BTreeMap::new(),
             duplicated_heartbeats: FaultWindow::default(),
             delayed_commands: FaultWindow::default(),
+            executed_pushes: Vec::new(),
             heartbeats_for_next_leader: HeartbeatsForNextLeader::default(),
             faults_end_at: Micros::ZERO,
             user_behavior: UserBehavior::default(),
--- a/crates/hopyoke/src/agents/heartbeats.rs
+++ b/crates/hopyoke/src/agents/heartbeats.rs
@@ -114,7 +114,7 @@
     })?;
     let now = runtime::now();
     let mut scheduler = leadership.scheduler.borrow_mut();
-    if heartbeat.token > scheduler.token {
+    if scheduler.is_superseded_by(heartbeat.token) {
         warn!(machine = %heartbeat.machine, token = heartbeat.token.0, "heartbeat rejected: the agent has received a higher fencing token");
         return Err(HeartbeatError::StaleToken);
     }
@@ -127,7 +127,7 @@
         leadership
             .heartbeat_monitor
             .borrow_mut()
-            .heartbeat_received(&heartbeat.machine, heartbeat.token == outcome.token);
+            .heartbeat_received(&heartbeat.machine, heartbeat.token >= scheduler.token);
     }
     // Most heartbeats change nothing, so the scheduling loop is not woken for each of them.
     if scheduler.next_due(now) <= now || scheduler.has_actions() {
--- a/crates/hopyoke/src/leadership/actions.rs
+++ b/crates/hopyoke/src/leadership/actions.rs
@@ -6,7 +6,7 @@
 use hopyoke_event_loop as runtime;
 use hopyoke_protocol::cloud::ScaleOutRequest;
 use hopyoke_scheduler::{Action, JobRecord};
-use hopyoke_types::{FencingToken, JobId, MachineId, Micros};
+use hopyoke_types::{JobId, MachineId, Micros};
 use std::rc::Rc;
 use tracing::warn;
 
@@ -47,14 +47,13 @@
     while let Some(action) = scheduler.next_action() {
         actions.push(action);
     }
-    let (token, has_writes) = (scheduler.token, scheduler.has_writes());
+    let has_writes = scheduler.has_writes();
     drop(scheduler);
     for action in actions {
         let executor = ActionExecutor {
             node: node.clone(),
             leadership: leadership.clone(),
             command_pusher: command_pusher.clone(),
-            token,
         };
         runtime::spawn_until(leadership.cancel.clone(), executor.execute(action));
     }
@@ -69,7 +68,6 @@
     node: Rc<Node>,
     leadership: Rc<Leadership>,
     command_pusher: Rc<CommandPusher>,
-    token: FencingToken,
 }
 
 impl ActionExecutor {
@@ -96,18 +94,12 @@
             Action::PushCommands {
                 machine,
                 address,
+                token,
                 epoch,
                 commands,
             } => {
                 self.command_pusher
-                    .push(
-                        &self.leadership,
-                        self.token,
-                        machine,
-                        address,
-                        epoch,
-                        commands,
-                    )
+                    .push(&self.leadership, token, machine, address, epoch, commands)
                     .await;
             }
         }
--- a/crates/hopyoke/src/leadership/record_writer.rs
+++ b/crates/hopyoke/src/leadership/record_writer.rs
@@ -7,7 +7,7 @@
 use crate::store::client::TransactionOutcome;
 use crate::store::error::StoreError;
 use crate::store::keys::{
-    LEADER_KEY, REGISTRY_PREFIX, end_key, job_key, registry_page_key, run_times_key,
+    LEADER_KEY, REGISTRY_PREFIX, TERM_KEY, end_key, job_key, registry_page_key, run_times_key,
 };
 use crate::store::watch::job_id_from_key;
 use hopyoke_event_loop as runtime;
@@ -90,6 +90,7 @@
     Job(&'a JobRecord),
     End(&'a EndRecord),
     Page(&'a RegistryPage),
+    Term { token: FencingToken },
     RunTimes(&'a hopyoke_run_times::Page),
 }
 
@@ -142,6 +143,9 @@
                     None => self.delete(registry_page_key(key)),
                 }
             }
+            Write::Term { token } => {
+                self.put(TERM_KEY.to_owned(), RecordValue::Term { token: *token });
+            }
             Write::LearnedRunTimes { key, page } => {
                 self.put(run_times_key(*key), RecordValue::RunTimes(page));
             }
--- a/crates/hopyoke/src/store/keys.rs
+++ b/crates/hopyoke/src/store/keys.rs
@@ -8,6 +8,7 @@
 //! | `end/ID` | terminal record of a job, never deleted |
 //! | `fleet/ID` | page of the machine registry |
 //! | `learn/N` | learned run times; optional |
+//! | `term` | fencing token of the leader's term, written only to obtain a new revision; never read |
 //! | `staffed` | operators' override of staffed hours |
 //! | `flow/head/RUN` | unfinished workflow run |
 //! | `flow/hold/RUN` | claim of the node that executes a run, attached to that node's lease |
@@ -21,6 +22,8 @@
 
 /// Key of the leader; see [`crate::leadership::election`].
 pub(crate) const LEADER_KEY: &str = "leader";
+/// Key of the record of the leader's term.
+pub(crate) const TERM_KEY: &str = "term";
 /// Prefix of unfinished jobs.
 pub(crate) const JOB_PREFIX: &str = "job/";
 /// Prefix of the machine registry's pages.
