--- a/crates/hopyoke-emulator/src/agent.rs
+++ b/crates/hopyoke-emulator/src/agent.rs
@@ -1,7 +1,7 @@
 //! Agent of a machine: sends heartbeats to the leader and executes its commands.
 
 use crate::agent_tasks::Task;
-use crate::fleet::Fleet;
+use crate::fleet::{ExecutedPush, Fleet};
 use crate::server::serve;
 use hopyoke_event_loop::http::{Client, Method, Request, Response};
 use hopyoke_event_loop::{self as runtime, CancellationToken, Notify};
@@ -124,6 +124,13 @@
                 if !is_current {
                     return Response::msgpack(409, &self.heartbeat());
                 }
+                let is_start = |command: &Command| matches!(command, Command::Start { .. });
+                if pushed.commands.iter().any(is_start) {
+                    self.fleet.executed_starts.borrow_mut().push(ExecutedPush {
+                        agent: self.address,
+                        body: request.body.clone(),
+                    });
+                }
                 self.execute(pushed.token, pushed.commands);
                 Response::msgpack(200, &self.heartbeat())
             }
--- a/crates/hopyoke-emulator/src/fleet.rs
+++ b/crates/hopyoke-emulator/src/fleet.rs
@@ -22,6 +22,8 @@
     pub failing_class: RefCell<String>,
     /// Task starts in the order in which they happened.
     pub task_starts: RefCell<Vec<TaskStart>>,
+    /// Pushed commands that agents have executed and that contain a start, in the order of their execution.
+    pub executed_starts: RefCell<Vec<ExecutedPush>>,
     /// Tasks that have succeeded. Their results outlive attempts and machines, so a further attempt ends at once.
     pub(crate) succeeded: RefCell<BTreeSet<TaskId>>,
     /// Tasks that are on a machine. A task that starts on another machine meanwhile violates the invariant `ran_twice`.
@@ -47,6 +49,15 @@
     pub class: String,
 }
 
+/// Request with pushed commands that an agent has executed.
+#[derive(Debug, Clone)]
+pub struct ExecutedPush {
+    /// Address of the agent.
+    pub agent: SocketAddr,
+    /// Body of the request.
+    pub body: Vec<u8>,
+}
+
 impl Fleet {
     pub(crate) fn new(
         store: Rc<KvStore>,
@@ -62,6 +73,7 @@
             run_time_factor,
             failing_class: RefCell::default(),
             task_starts: RefCell::default(),
+            executed_starts: RefCell::default(),
             succeeded: RefCell::default(),
             live_tasks: RefCell::default(),
             violations: RefCell::default(),
--- a/crates/hopyoke-emulator/src/lib.rs
+++ b/crates/hopyoke-emulator/src/lib.rs
@@ -22,5 +22,5 @@
 pub use cloud::Cloud;
 pub use cluster::Cluster;
 pub use controller_settings::{ClusterConfig, TeamQuota};
-pub use fleet::{Fleet, TaskStart};
+pub use fleet::{ExecutedPush, Fleet, TaskStart};
 pub use kv_store::{InjectedLatency, KvStore, LatencyRule};
