--- a/crates/hopyoke-simulator/src/scenario/random_day.rs
+++ b/crates/hopyoke-simulator/src/scenario/random_day.rs
@@ -106,7 +106,7 @@
         job: sim.random(1, MAX_FAULT_JOB),
         span,
     };
-    match sim.random(0, 47) {
+    match sim.random(0, 50) {
         kind @ 0..=24 => cluster_fault(sim, kind, &fault),
         kind => message_or_user_fault(sim, kind, &fault),
     }
@@ -186,6 +186,7 @@
         43 => format!("hold_answers of:req-{job:06} for {}", sim.random(1, 8)),
         44 => format!("lost_renewals {percent} for {span}"),
         45..=47 => format!("late_commands {percent} for {}", span * 2),
+        48..=50 => format!("repeat_commands {percent} for {}", span * 2),
         _ => format!("deaf of:req-{job:06} for {span}"),
     }
 }
