--- a/crates/hopyoke-scheduler/src/autoscale/provisioning.rs
+++ b/crates/hopyoke-scheduler/src/autoscale/provisioning.rs
@@ -62,7 +62,8 @@
     Failed,
 }
 
-/// Survival curve of one type, as weighted numbers of machines by age bucket.
+/// Survival curve of one type, as weighted numbers of machines by age bucket: how many reached an age without being up,
+/// and how many came up before the next.
 #[derive(Debug, Clone, PartialEq)]
 struct SurvivalCurve {
     /// Machines that reached the bucket without being up.
--- a/crates/hopyoke-scheduler/src/persist/batch.rs
+++ b/crates/hopyoke-scheduler/src/persist/batch.rs
@@ -103,7 +103,8 @@
     pub machines: BTreeMap<MachineId, String>,
 }
 
-/// Encoded size of a machine's address: IPv4 with port, plus the quotes and separators of its entry.
+/// Encoded size of a machine's address: IPv4 with port, plus the quotes and separators of its entry, at most
+/// `"255.255.255.255:65535":,""`.
 pub(crate) const ADDRESS_BYTES: usize = 30;
 
 impl RegistryPage {
--- a/crates/hopyoke-scheduler/src/reconcile/task_status.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/task_status.rs
@@ -222,7 +222,7 @@
             }
         }
         if is_crash_looping && now >= job.backoff_until {
-            // Exponential backoff.
+            // Exponential backoff: a job that fails everywhere is retried ever more rarely.
             let wait = self.tuning.job_backoff.times(1 << job.backoff_count.min(4));
             job.backoff_count += 1;
             job.backoff_until = now + wait;
--- a/crates/hopyoke-scheduler/src/reconcile/unresponsive.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/unresponsive.rs
@@ -75,7 +75,7 @@
     /// Records that this node can't receive all heartbeats, for lack of CPU time or connections. Until two
     /// heartbeat intervals after the last call no machine is deleted for missing heartbeats, and none is
     /// requested to replace it. Guards against deleting and replacing the fleet because the leader is
-    /// overloaded.
+    /// overloaded, as seen with four to six times the usual number of machines.
     pub fn set_receive_overloaded(&mut self, now: Micros) {
         if now >= self.receive_health.overloaded_until {
             info!(
--- a/crates/hopyoke/src/serve.rs
+++ b/crates/hopyoke/src/serve.rs
@@ -147,7 +147,7 @@
 }
 
 /// Delay of a timer above which the processor counts as overloaded. Well below the 4 s after which agents drop
-/// responses: a later detection lets agents' leases expire.
+/// responses: a later detection lets agents' leases expire. At very large fleets three times this delay is too late.
 const MAX_WAKEUP_DELAY: Micros = Micros::from_millis(400);
 /// Time for which the processor counts as overloaded after such a delay.
 const CPU_OVERLOAD_DURATION: Micros = Micros::from_secs(20);
--- a/crates/hopyoke/src/store/records.rs
+++ b/crates/hopyoke/src/store/records.rs
@@ -46,7 +46,8 @@
 /// Before that, a cancellation is appended to the cancellation log for leaders that may not receive it, and the job is
 /// removed from this node's own scheduler. This applies to a record of any writer: the response to the cancelling
 /// transaction can be lost, and the user's repeated request then finds its result. Guards the invariant
-/// `ran_cancelled`: a leader that outlives an outage of the store would otherwise keep the job's tasks running.
+/// `ran_cancelled`: a leader that outlives an outage of the store would otherwise keep the job's tasks running (scenarios
+/// leader_rejected_then_outage_responses_lost, leader_rejected_then_outage_leader_reads).
 fn record_terminal_state(node: &Node, id: &JobId, end: EndRecord, mod_revision: ModRevision) {
     if end.state == JobState::Cancelled {
         node.lease_support
