Tests of pushed commands: one set-up for cancelled jobs, starts in responses

Cause: three tests set up the same order of events, and that a start in a response needs no higher token was told by a comment alone. Change: a method of the fixture, and a test of its own.

--- a/crates/hopyoke-scheduler/tests/pushed_commands.rs
+++ b/crates/hopyoke-scheduler/tests/pushed_commands.rs
@@ -144,6 +144,13 @@
             .push_answered(&machine(), true, Some(&status), self.now);
     }
 
+    /// Lets the pushed start be answered, and the job be cancelled, so that the stop of its task is pushed.
+    fn cancel_running(&mut self, attempt: Attempt) {
+        self.answer_push(vec![running(attempt)]);
+        self.scheduler.job_removed(&job(), self.now);
+        self.wait(1);
+    }
+
     /// Sends a heartbeat that lists these tasks. The agent receives the response.
     fn heartbeat(&mut self, tasks: Vec<TaskStatus>) -> HeartbeatReply {
         let heartbeat = self.status(tasks);
@@ -262,9 +269,7 @@
 #[test]
 fn attempt_of_a_cancelled_job_is_acknowledged_only_under_a_higher_token() {
     let (mut leader, attempt) = Leader::with_pushed_start();
-    leader.answer_push(vec![running(attempt)]);
-    leader.scheduler.job_removed(&job(), leader.now);
-    leader.wait(1);
+    leader.cancel_running(attempt);
     leader.answer_push(vec![ended(attempt, ExitReason::Stopped)]);
     let reply = leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
     assert!(!acknowledges(&reply.commands, attempt));
@@ -301,9 +306,7 @@
 #[test]
 fn token_is_not_raised_past_a_push_in_flight() {
     let (mut leader, attempt) = Leader::with_pushed_start();
-    leader.answer_push(vec![running(attempt)]);
-    leader.scheduler.job_removed(&job(), leader.now);
-    leader.wait(1);
+    leader.cancel_running(attempt);
     assert_eq!(leader.pushes().len(), 1, "the stop");
     leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
     leader.apply_write(9);
@@ -334,10 +337,9 @@
     );
 }
 
-/// Guards against acknowledgements that wait for a write without need: a former leader's pushes have a lower token, and
-/// a start in a heartbeat response can't be repeated.
+/// Guards against acknowledgements that wait for a write without need: a former leader's pushes have a lower token.
 #[test]
-fn attempt_without_a_push_of_this_term_is_acknowledged_at_once() {
+fn attempt_of_a_former_leader_is_acknowledged_at_once() {
     let mut leader = Leader::elect();
     leader.agent_token = FencingToken(4);
     let former = Attempt(1);
@@ -346,13 +348,25 @@
     assert_eq!(reply.token, GRANTED);
 }
 
+/// Guards against acknowledgements that wait for a write without need: a start in a response can't be repeated.
+#[test]
+fn attempt_started_by_a_response_is_acknowledged_at_once() {
+    let mut leader = Leader::elect();
+    leader.heartbeat(Vec::new());
+    leader.now += Micros::from_secs(1);
+    let reply = leader.heartbeat(Vec::new());
+    let attempt = reply.commands.iter().find_map(start_of);
+    let attempt = attempt.expect("a start in the response");
+    let reply = leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
+    assert!(acknowledges(&reply.commands, attempt));
+    assert_eq!(reply.token, GRANTED);
+}
+
 /// Guards against ended attempts that stay in heartbeats for good while nothing else is written.
 #[test]
 fn missing_token_is_written_for() {
     let (mut leader, attempt) = Leader::with_pushed_start();
-    leader.answer_push(vec![running(attempt)]);
-    leader.scheduler.job_removed(&job(), leader.now);
-    leader.wait(1);
+    leader.cancel_running(attempt);
     leader.answer_push(vec![ended(attempt, ExitReason::Stopped)]);
     leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
     assert!(leader.scheduler.next_batch(leader.now).is_none());
