Tests of pushed commands: one check of when an attempt is acknowledged

Cause: three tests held the same six lines. Change: a method of the fixture; each test keeps all assertions, two of them gain the exit reason in their messages.

--- a/crates/hopyoke-scheduler/tests/pushed_commands.rs
+++ b/crates/hopyoke-scheduler/tests/pushed_commands.rs
@@ -159,6 +159,23 @@
         reply
     }
 
+    /// Requires that an ended attempt is not acknowledged at first, and is once a write has given a higher token.
+    fn assert_acknowledged_only_under_a_higher_token(
+        &mut self,
+        attempt: Attempt,
+        exit_reason: ExitReason,
+    ) {
+        let reply = self.heartbeat(vec![ended(attempt, exit_reason)]);
+        assert!(
+            !acknowledges(&reply.commands, attempt),
+            "{exit_reason:?}: acknowledged under the token of its push"
+        );
+        self.apply_write(9);
+        let reply = self.heartbeat(vec![ended(attempt, exit_reason)]);
+        assert!(acknowledges(&reply.commands, attempt), "{exit_reason:?}");
+        assert_eq!(reply.token, FencingToken(9), "{exit_reason:?}");
+    }
+
     /// Removes and returns the pushes that the leader has decided on, with their tokens.
     fn pushes(&mut self) -> Vec<(FencingToken, Vec<Command>)> {
         let actions = std::iter::from_fn(|| self.scheduler.next_action());
@@ -252,15 +269,7 @@
     ] {
         let (mut leader, attempt) = Leader::with_pushed_start();
         leader.answer_push(vec![ended(attempt, exit_reason)]);
-        let reply = leader.heartbeat(vec![ended(attempt, exit_reason)]);
-        assert!(
-            !acknowledges(&reply.commands, attempt),
-            "{exit_reason:?}: acknowledged under the token of its push"
-        );
-        leader.apply_write(9);
-        let reply = leader.heartbeat(vec![ended(attempt, exit_reason)]);
-        assert!(acknowledges(&reply.commands, attempt), "{exit_reason:?}");
-        assert_eq!(reply.token, FencingToken(9), "{exit_reason:?}");
+        leader.assert_acknowledged_only_under_a_higher_token(attempt, exit_reason);
     }
 }
 
@@ -271,12 +280,7 @@
     let (mut leader, attempt) = Leader::with_pushed_start();
     leader.cancel_running(attempt);
     leader.answer_push(vec![ended(attempt, ExitReason::Stopped)]);
-    let reply = leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
-    assert!(!acknowledges(&reply.commands, attempt));
-    leader.apply_write(9);
-    let reply = leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
-    assert!(acknowledges(&reply.commands, attempt));
-    assert_eq!(reply.token, FencingToken(9));
+    leader.assert_acknowledged_only_under_a_higher_token(attempt, ExitReason::Stopped);
 }
 
 /// Guards against a start whose outcome is unknown, and which is pushed again together with its stop: both pushes may
@@ -294,12 +298,7 @@
     };
     assert!(pushes.iter().any(repeats_start), "{pushes:?}");
     leader.answer_push(vec![ended(attempt, ExitReason::Stopped)]);
-    let reply = leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
-    assert!(!acknowledges(&reply.commands, attempt));
-    leader.apply_write(9);
-    let reply = leader.heartbeat(vec![ended(attempt, ExitReason::Stopped)]);
-    assert!(acknowledges(&reply.commands, attempt));
-    assert_eq!(reply.token, FencingToken(9));
+    leader.assert_acknowledged_only_under_a_higher_token(attempt, ExitReason::Stopped);
 }
 
 /// Guards against a token that is raised while a push with a lower one is in flight: the agent would refuse that push.
