--- /dev/null
+++ b/review/standins-2/src/cases.rs
@@ -0,0 +1,284 @@
+//! The cases.
+
+use crate::cluster::{Controllers, ZONES};
+use crate::fleet::{Cloud, Fleet, Team};
+use crate::proxy::Link;
+use crate::store::Store;
+use crate::users::{Users, job};
+use crate::world::{Record, Uploads, json_len};
+use hopyoke_event_loop::{self as runtime};
+use hopyoke_types::Micros;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// A small deployment: three controllers, and four machines that are up at the start.
+pub struct Site {
+    pub record: Rc<Record>,
+    pub store: Rc<Store>,
+    pub fleet: Rc<Fleet>,
+    pub cloud: Rc<Cloud>,
+    pub controllers: Rc<Controllers>,
+    pub users: Rc<Users>,
+    pub links: Vec<Vec<Rc<Link>>>,
+    dir: PathBuf,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        if std::env::var("CASE_KEEP").is_err() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+pub fn secs(s: f64) -> Micros {
+    Micros::from_secs_f64(s)
+}
+
+/// The teams of `bangkarera-hire`.
+fn teams() -> Vec<Team> {
+    let team = |name, gpus, gpus_max| Team {
+        name,
+        gpus,
+        gpus_max,
+    };
+    vec![
+        team("bookingdesk", 8.0, 16.0),
+        team("fleetwatch", 16.0, 64.0),
+        team("ledgermove", 16.0, 40.0),
+        team("skipperops", 10.0, 40.0),
+        team("dockworks", 16.0, 56.0),
+    ]
+}
+
+impl Site {
+    pub async fn start(dir: &str, most_machines: usize) -> Option<Site> {
+        Site::start_with(dir, most_machines, None).await
+    }
+
+    /// Starts a deployment with the operators' own settings.
+    pub async fn start_with(dir: &str, most_machines: usize, policy: Option<&str>) -> Option<Site> {
+        let record = Record::open(&format!("{dir}/record.txt"));
+        let tmp = std::env::temp_dir().join(format!("review-case-{}", std::process::id()));
+        std::fs::create_dir_all(&tmp).ok()?;
+        let uploads: Uploads = Rc::default();
+        let (store, state) = Store::start(3);
+        let fleet = Fleet::new(record.clone(), uploads.clone(), teams());
+        let (cloud, cloud_addr) = Cloud::start(&fleet, &ZONES, most_machines, 2.0);
+        let links: Vec<Vec<Rc<Link>>> = (0..3)
+            .map(|_| (0..3).map(|_| Link::start()).collect())
+            .collect();
+        let controllers = Rc::new(Controllers::new(
+            &tmp,
+            &teams(),
+            &state,
+            cloud_addr,
+            policy,
+            |i, j, a| {
+                links[i][j].to.set(Some(a));
+                links[i][j].address
+            },
+        ));
+        *fleet.controllers.borrow_mut() = (0..3)
+            .map(|i| (Controllers::name(i), controllers.api[i]))
+            .collect();
+        for (i, n) in [1, 1, 2].iter().enumerate() {
+            for _ in 0..*n {
+                cloud.rent(ZONES[i], false, Some(Micros::ZERO));
+            }
+        }
+        let users = Users::new(&record, &fleet, &uploads, &controllers.api);
+        let site = Site {
+            record,
+            store,
+            fleet,
+            cloud,
+            controllers,
+            users,
+            links,
+            dir: tmp,
+        };
+        for i in 0..3 {
+            if !site.controllers.start(i) {
+                return None;
+            }
+        }
+        let until = runtime::now() + secs(20.0);
+        while runtime::now() < until {
+            runtime::sleep(secs(0.25)).await;
+            let mut healthy = 0;
+            for i in 0..3 {
+                healthy += usize::from(site.users.healthy(i).await);
+            }
+            if healthy == 3 {
+                return Some(site);
+            }
+        }
+        site.record.line("the controllers did not become healthy");
+        None
+    }
+
+    pub fn verdict(&self) -> u8 {
+        let broken = self.record.broken.borrow();
+        for b in broken.iter() {
+            println!("broken: {b}");
+        }
+        self.record.line(if broken.is_empty() {
+            "the rules held"
+        } else {
+            "a rule was broken"
+        });
+        u8::from(!broken.is_empty())
+    }
+}
+
+/// A deployment for trials by hand.
+async fn serve_site(dir: &str) -> u8 {
+    let Some(site) = Site::start(dir, 16).await else {
+        return 2;
+    };
+    println!("{:?}", site.controllers.api);
+    for _ in 0..1200 {
+        runtime::sleep(secs(0.5)).await;
+        if let Some(i) = site.controllers.ended() {
+            println!("controller {i} ended by itself");
+            return 1;
+        }
+    }
+    0
+}
+
+pub async fn play(name: &str, dir: &str, trouble: bool) -> u8 {
+    match name {
+        "serve" => serve_site(dir).await,
+        "hunt" => crate::hunt::hunt(dir, trouble).await,
+        "workflow-cancel" => crate::workflows::cancel(dir, trouble).await,
+        "odd-names" => odd_names(dir, trouble).await,
+        _ => 2,
+    }
+}
+
+/// The record of an accepted job, as the controllers keep it.
+fn record_len(spec: &Value) -> usize {
+    json_len(
+        &json!({"spec":spec,"accepted_us":1_765_065_000_000_000u64,"done":[],"term":0,"marks_start":true}),
+    )
+}
+
+/// A job whose list of machine types holds garbage besides the right name. A control character takes one byte in
+/// MessagePack and six in JSON, in which the pages count: accepted, its record takes 8,188 of 8,192 bytes.
+fn odd_job(id: &str) -> Value {
+    let mut j = job(id, "fleetwatch", "array", 2);
+    let mut rigs = vec!["bancarig".to_owned()];
+    let limit = 8188;
+    loop {
+        let mut more = rigs.clone();
+        more.push("\u{1}".repeat(150));
+        j["rigs"] = json!(more);
+        if record_len(&j) + 10 > limit {
+            break;
+        }
+        rigs = more;
+    }
+    rigs.push(String::new());
+    loop {
+        j["rigs"] = json!(rigs);
+        let left = limit - record_len(&j);
+        let Some(last) = rigs.last_mut() else { break };
+        match left {
+            0 => break,
+            1..=5 => last.push('x'),
+            _ => last.push('\u{1}'),
+        }
+    }
+    j
+}
+
+/// Watches jobs after they were accepted, until all have started or `until`, and checks: "Once the troubles are over, no
+/// job is left waiting for 90 s while a machine that fits has room and its team is under its limit."
+pub async fn watch_waiting(site: &Site, jobs: &[String], until: Micros) {
+    let mut since: BTreeMap<&String, Micros> = BTreeMap::new();
+    let mut next_poll = runtime::now();
+    let mut round = 0;
+    while runtime::now() < until {
+        runtime::sleep(secs(0.5)).await;
+        let now = runtime::now();
+        let waiting: Vec<&String> = jobs
+            .iter()
+            .filter(|j| site.fleet.started(j).is_none())
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        for j in waiting {
+            if !site.fleet.has_room(j) {
+                since.remove(j);
+                continue;
+            }
+            let from = *since.entry(j).or_insert(now);
+            if now >= from + secs(90.0) {
+                site.record.broken(&format!("waiting: {j} was accepted, and has waited for 90 s while a machine that fits has room"));
+                return;
+            }
+        }
+        if now >= next_poll {
+            next_poll = now + secs(5.0);
+            round += 1;
+            for j in jobs {
+                site.users.poll(round % 3, j).await;
+            }
+        }
+    }
+}
+
+async fn odd_names(dir: &str, trouble: bool) -> u8 {
+    let Some(site) = Site::start(dir, 20).await else {
+        return 2;
+    };
+    let u = &site.users;
+    // Ordinary work, which runs and is done.
+    if !u
+        .submit_until_accepted(0, &job("req-000101", "ledgermove", "array", 2), 3.0)
+        .await
+    {
+        return 2;
+    }
+    let until = runtime::now() + secs(12.0);
+    while runtime::now() < until && u.poll(0, "req-000101").await.is_none_or(|b| b != "done") {
+        runtime::sleep(secs(1.0)).await;
+    }
+    if trouble
+        && !u
+            .submit_until_accepted(1, &odd_job("req-000100"), 3.0)
+            .await
+    {
+        site.record
+            .line("the job with garbage among its machine types was not accepted");
+        return 2;
+    }
+    runtime::sleep(secs(1.0)).await;
+    // Ordinary jobs of other teams.
+    let mut jobs = Vec::new();
+    for (i, crew) in ["skipperops", "dockworks", "ledgermove", "bookingdesk"]
+        .iter()
+        .enumerate()
+    {
+        let id = format!("req-00020{i}");
+        if !u
+            .submit_until_accepted(i % 3, &job(&id, crew, "array", 1), 3.0)
+            .await
+        {
+            return 2;
+        }
+        jobs.push(id);
+    }
+    watch_waiting(&site, &jobs, runtime::now() + secs(95.0)).await;
+    let refused = site.store.malformed.get();
+    site.record.line(&format!(
+        "the state service refused {refused} transactions, the last one for: {}",
+        site.store.malformed_reason.borrow()
+    ));
+    site.verdict()
+}
--- /dev/null
+++ b/review/standins-2/src/workflows.rs
@@ -0,0 +1,234 @@
+//! Cases of workflows: the project's workflow service and command line beside controllers that execute workflows.
+
+use crate::cases::{Site, secs};
+use crate::cluster::free_addresses;
+use hopyoke_event_loop::http::{Client, Method};
+use hopyoke_event_loop::{self as runtime};
+use hopyoke_types::Micros;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// The token of `deploy/wes.toml`'s example client, and its digest there.
+const TOKEN: &str = "example-token-0000";
+const CWL: &str = "target/release/hopyoke-cwl";
+
+/// The workflow service as a process.
+pub struct Service {
+    child: Child,
+    pub address: SocketAddr,
+    pub descriptions: PathBuf,
+    client: Client,
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Service {
+    /// Starts the service with the settings of `deploy/wes.toml`, but for its addresses.
+    pub async fn start(site: &Site) -> Option<Service> {
+        let dir = &site.controllers.dir;
+        let address = free_addresses(7).pop()?;
+        let mesh: Vec<String> = site
+            .controllers
+            .mesh
+            .iter()
+            .map(|a| format!("\"{a}\""))
+            .collect();
+        let descriptions = dir.join("descriptions");
+        let text = std::fs::read_to_string("deploy/wes.toml").ok()?;
+        let lines = text
+            .lines()
+            .map(|l| match l.split(' ').next().unwrap_or("") {
+                "listen" => format!("listen = \"{address}\""),
+                "controllers" => format!("controllers = [{}]", mesh.join(", ")),
+                "descriptions" => format!("descriptions = \"{}\"", descriptions.display()),
+                _ => l.to_owned(),
+            });
+        let config = dir.join("wes.toml");
+        std::fs::write(&config, lines.collect::<Vec<_>>().join("\n")).ok()?;
+        let log = std::fs::File::create(dir.join("wes.log")).ok()?;
+        let child = Command::new(CWL)
+            .args(["serve", "--config"])
+            .arg(&config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .ok()?;
+        let service = Service {
+            child,
+            address,
+            descriptions,
+            client: Client::new(address),
+        };
+        for _ in 0..40 {
+            runtime::sleep(secs(0.25)).await;
+            if service.call(site, Method::Get, "/service-info").await.0 == 200 {
+                return Some(service);
+            }
+        }
+        None
+    }
+
+    pub async fn call(&self, site: &Site, method: Method, path: &str) -> (u16, Value) {
+        let path = format!("/ga4gh/wes/v1{path}");
+        let headers = format!("Authorization: Bearer {TOKEN}\r\n");
+        let r = self
+            .client
+            .send_with_headers(
+                method,
+                &path,
+                ("application/json", b""),
+                &headers,
+                Micros::from_secs(20),
+            )
+            .await;
+        let (status, body) = match r {
+            Ok(r) => (
+                r.status,
+                serde_json::from_slice(&r.body).unwrap_or(Value::Null),
+            ),
+            Err(_) => (0, Value::Null),
+        };
+        if path.ends_with("service-info") {
+            site.record
+                .line(&format!("client {} {path}: {status}", method.as_str()));
+        } else {
+            site.record.line(&format!(
+                "client {} {path}: {status} {body}",
+                method.as_str()
+            ));
+        }
+        (status, body)
+    }
+
+    /// Submits a document by the command line, with a key. Returns the run's id, or what the command said.
+    pub async fn submit(&self, site: &Site, document: &Path, key: &str) -> Result<String, String> {
+        let child = Command::new(CWL)
+            .args([
+                "run",
+                "--detach",
+                "--team",
+                "ledgermove",
+                "--key",
+                key,
+                "--patience",
+                "20",
+                "--to",
+            ])
+            .arg(format!("http://{}", self.address))
+            .arg(document)
+            .env("HOPYOKE_TOKEN", TOKEN)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn();
+        let Ok(mut child) = child else {
+            return Err("not started".into());
+        };
+        let until = runtime::now() + secs(30.0);
+        while matches!(child.try_wait(), Ok(None)) && runtime::now() < until {
+            runtime::sleep(secs(0.05)).await;
+        }
+        let _ = child.kill();
+        let Ok(out) = child.wait_with_output() else {
+            return Err("no output".into());
+        };
+        let text = |b: &[u8]| String::from_utf8_lossy(b).trim().to_owned();
+        site.record.line(&format!(
+            "client submits {} with key {key}: {} {}",
+            document.display(),
+            text(&out.stdout),
+            text(&out.stderr)
+        ));
+        if out.status.success() {
+            Ok(text(&out.stdout))
+        } else {
+            Err(text(&out.stderr))
+        }
+    }
+}
+
+/// The settings of `deploy/workflows.policy` for workflows; its staffed hours are left out, so that the time of day has no
+/// influence.
+const POLICY: &str = "flows = true\nflow_write_share = 10%\n";
+
+fn wide_workflow(steps: usize) -> String {
+    let mut t = String::from(
+        "cwlVersion: v1.2\nclass: Workflow\n$namespaces: {hopyoke: \"urn:hopyoke:cwl#\"}\nhints:\n  hopyoke:Scheduling: {jobClass: ledger, estimate: 20, imageGb: 0.3}\ninputs: {}\noutputs: {}\nsteps:\n",
+    );
+    for i in 0..steps {
+        t += &format!(
+            "  convert{i:02}:\n    in: {{}}\n    out: []\n    run:\n      class: CommandLineTool\n      baseCommand: [convert, page{i:02}]\n      requirements: {{ResourceRequirement: {{coresMin: 8, ramMin: 2048}}}}\n      inputs: {{}}\n      outputs: []\n"
+        );
+    }
+    t
+}
+
+/// A workflow whose steps fan out is cancelled halfway through.
+pub async fn cancel(dir: &str, trouble: bool) -> u8 {
+    const STEPS: usize = 30;
+    let Some(site) = Site::start_with(dir, 4, Some(POLICY)).await else {
+        return 2;
+    };
+    *site.fleet.steps.borrow_mut() = Some((site.store.clone(), 40.0));
+    let Some(service) = Service::start(&site).await else {
+        return 2;
+    };
+    let document = site.controllers.dir.join("wide.cwl");
+    std::fs::write(&document, wide_workflow(STEPS)).expect("document");
+    let Ok(run) = service.submit(&site, &document, "ledger-1").await else {
+        return 2;
+    };
+    // Halfway: some steps are done, others run, others wait.
+    runtime::sleep(secs(if trouble { 34.0 } else { 60.0 })).await;
+    let prefix = format!("req-9{run}");
+    site.record
+        .line(&format!("on machines: {:?}", site.fleet.tasks_on(&prefix)));
+    if !trouble {
+        service
+            .call(&site, Method::Get, &format!("/runs/{run}/status"))
+            .await;
+        return site.verdict();
+    }
+    let (status, _) = service
+        .call(&site, Method::Post, &format!("/runs/{run}/cancel"))
+        .await;
+    let told = runtime::now();
+    if status != 200 {
+        return 2;
+    }
+    let bound = secs(crate::fleet::CANCEL_S);
+    let mut late_on = 0;
+    while runtime::now() < told + bound + secs(20.0) {
+        runtime::sleep(secs(5.0)).await;
+        let on = site.fleet.tasks_on(&prefix);
+        service
+            .call(&site, Method::Get, &format!("/runs/{run}/status"))
+            .await;
+        if runtime::now() > told + bound {
+            late_on = late_on.max(on.len());
+        }
+    }
+    let starts = site.fleet.starts.borrow();
+    let after = starts
+        .iter()
+        .filter(|s| s.1.starts_with(&prefix) && s.0 > told)
+        .count();
+    let late = starts
+        .iter()
+        .filter(|s| s.1.starts_with(&prefix) && s.0 > told + bound)
+        .count();
+    site.record.line(&format!("{after} tasks of the run started after its client was told, {late} of them more than 34 s after; {late_on} were on machines then"));
+    if late > 0 || late_on > 0 {
+        site.record.broken("ran_cancelled: tasks of a workflow are on machines, or start, more than 34 s after its client was told that it is cancelled");
+    }
+    drop(starts);
+    site.verdict()
+}
