--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -154,6 +154,7 @@
     match name {
         "serve" => serve_site(dir).await,
         "hunt" => crate::hunt::hunt(dir, trouble).await,
+        "same-key" => crate::workflows::same_key(dir, trouble).await,
         "workflow-cancel" => crate::workflows::cancel(dir, trouble).await,
         "odd-names" => odd_names(dir, trouble).await,
         _ => 2,
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -11,6 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// Timings from the settings of the small deployment (`bangkarera-hire`).
@@ -54,6 +55,10 @@
     pub keep_copies: Cell<bool>,
     /// Where descriptions of workflow steps' jobs are read, and how long their tasks run.
     pub steps: RefCell<Option<(Rc<Store>, f64)>>,
+    /// Where workers fetch the descriptions of workflow steps' tasks.
+    pub descriptions: RefCell<Option<PathBuf>>,
+    /// Task, and the description that its worker fetched.
+    pub commands: RefCell<Vec<(String, String)>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -131,6 +136,8 @@
             old_commands: RefCell::default(),
             keep_copies: Cell::new(false),
             steps: RefCell::default(),
+            descriptions: RefCell::default(),
+            commands: RefCell::default(),
         });
         let f = fleet.clone();
         runtime::spawn(async move {
@@ -600,6 +607,15 @@
             runtime::sleep(Micros::from_secs_f64(u.num("pull_gb") / 0.6)).await;
             self.state.borrow_mut().images.insert(image);
         }
+        if let Some(dir) = self.fleet.descriptions.borrow().as_ref() {
+            let job = key.0.split('/').next().unwrap_or("");
+            let text = std::fs::read_to_string(dir.join(format!("{job}.json"))).unwrap_or_default();
+            self.fleet.record.line(&format!(
+                "{} fetches the description of {}: {text}",
+                self.id, key.0
+            ));
+            self.fleet.commands.borrow_mut().push((key.0.clone(), text));
+        }
         self.fleet.task_on(&key.0, &self);
         if let Some(t) = self.state.borrow_mut().tasks.get_mut(&key) {
             t.at = At::Running;
--- a/review/standins-2/src/workflows.rs
+++ b/review/standins-2/src/workflows.rs
@@ -232,3 +232,91 @@
     drop(starts);
     site.verdict()
 }
+
+/// A workflow of steps that follow each other, whose commands hold a word.
+fn chain(word: &str, steps: &[&str]) -> String {
+    let mut t = String::from(
+        "cwlVersion: v1.2\nclass: Workflow\n$namespaces: {hopyoke: \"urn:hopyoke:cwl#\"}\nhints:\n  hopyoke:Scheduling: {jobClass: ledger, estimate: 10, imageGb: 0.3}\ninputs: {}\n",
+    );
+    let last = steps.last().unwrap_or(&"");
+    t += &format!("outputs: {{page: {{type: File, outputSource: {last}/page}}}}\nsteps:\n");
+    for (i, step) in steps.iter().enumerate() {
+        let before = if i == 0 {
+            String::new()
+        } else {
+            format!("before: {}/page", steps[i - 1])
+        };
+        t += &format!(
+            "  {step}:\n    in: {{{before}}}\n    out: [page]\n    run:\n      class: CommandLineTool\n      baseCommand: [{word}, {step}]\n      requirements: {{ResourceRequirement: {{coresMin: 8, ramMin: 2048}}}}\n      inputs: {{before: \"File?\"}}\n      outputs: {{page: {{type: File, outputBinding: {{glob: {step}.json}}}}}}\n"
+        );
+    }
+    t
+}
+
+/// A client submits another document under the key of a run that was accepted and has begun. The service refuses it; the
+/// accepted run must go on with its own commands.
+pub async fn same_key(dir: &str, trouble: bool) -> u8 {
+    let Some(site) = Site::start_with(dir, 4, Some(POLICY)).await else {
+        return 2;
+    };
+    *site.fleet.steps.borrow_mut() = Some((site.store.clone(), 10.0));
+    let Some(service) = Service::start(&site).await else {
+        return 2;
+    };
+    *site.fleet.descriptions.borrow_mut() = Some(service.descriptions.clone());
+    let (first, second) = (
+        site.controllers.dir.join("first.cwl"),
+        site.controllers.dir.join("second.cwl"),
+    );
+    std::fs::write(&first, chain("convert", &["read", "merge"])).expect("document");
+    std::fs::write(&second, chain("archive", &["read", "merge", "send"])).expect("document");
+    let Ok(run) = service.submit(&site, &first, "ledger-2026").await else {
+        return 2;
+    };
+    let prefix = format!("req-9{run}");
+    let until = runtime::now() + secs(30.0);
+    while site.fleet.tasks_on(&prefix).is_empty() {
+        runtime::sleep(secs(0.5)).await;
+        if runtime::now() > until {
+            return 2;
+        }
+    }
+    // Without the disruption the client repeats what it sent before.
+    let again = if trouble { &second } else { &first };
+    match service.submit(&site, again, "ledger-2026").await {
+        Ok(r) if trouble && r == run => site.record.line("the second document counts as the first"),
+        Ok(r) if !trouble && r == run => {}
+        Err(_) if trouble => {}
+        _ => return 2,
+    }
+    let until = runtime::now() + secs(60.0);
+    while runtime::now() < until {
+        runtime::sleep(secs(2.0)).await;
+        let (_, body) = service
+            .call(&site, Method::Get, &format!("/runs/{run}/status"))
+            .await;
+        if matches!(
+            body["state"].as_str(),
+            Some("COMPLETE" | "EXECUTOR_ERROR" | "SYSTEM_ERROR")
+        ) {
+            break;
+        }
+    }
+    let ran: Vec<(String, String)> = site
+        .fleet
+        .commands
+        .borrow()
+        .iter()
+        .filter(|c| c.0.starts_with(&prefix))
+        .cloned()
+        .collect();
+    if ran.len() < 2 {
+        return 2;
+    }
+    for (task, command) in ran {
+        if !command.contains("convert") {
+            site.record.broken(&format!("wrong work: {task} of the accepted run was given the commands of the refused document: {command}"));
+        }
+    }
+    site.verdict()
+}
