--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -149,6 +149,8 @@
     match name {
         "serve" => serve_site(dir).await,
         "failed-once" => failed_once(dir, trouble).await,
+        "workflow-hunt" => crate::workflows::hunt(dir).await,
+        "before-outage" => crate::hunt::before_outage(dir).await,
         "meetings" => crate::hunt::meetings(dir).await,
         "hunt" => crate::hunt::hunt(dir, trouble).await,
         "same-key" => crate::workflows::same_key(dir, trouble).await,
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -42,6 +42,7 @@
     /// Reports and executed direct commands, of which copies may arrive again.
     pub old_reports: RefCell<Vec<Value>>,
     pub old_commands: RefCell<Vec<(String, u64, u64, Vec<Order>)>>,
+    gangs: RefCell<BTreeMap<(String, u64), Gang>>,
     /// Whether copies are kept.
     pub keep_copies: Cell<bool>,
     /// Where descriptions of workflow steps' jobs are read, and how long their tasks run.
@@ -52,9 +53,18 @@
     pub commands: RefCell<Vec<(String, String)>>,
 }
 
+/// One attempt of a gang: its tasks that have their image and have not exited.
+#[derive(Default)]
+struct Gang {
+    present: BTreeMap<u32, Rc<Worker>>,
+    started: bool,
+    done: bool,
+}
+
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum At {
     Pulling,
+    Waiting,
     Running,
     Ended,
 }
@@ -129,6 +139,7 @@
             reported: RefCell::default(),
             old_reports: RefCell::default(),
             old_commands: RefCell::default(),
+            gangs: RefCell::default(),
             keep_copies: Cell::new(false),
             steps: RefCell::default(),
             descriptions: RefCell::default(),
@@ -266,6 +277,31 @@
                 w.id
             ));
         }
+        let workers = self.workers.borrow();
+        let zones: Vec<String> = self
+            .on
+            .borrow()
+            .iter()
+            .filter(|(t, _)| t.starts_with(&format!("{job}/")) && *t != task)
+            .flat_map(|(_, m)| {
+                m.iter()
+                    .filter_map(|m| Some(workers.get(m)?.basin.clone()))
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        if u.spec["together"] == json!(true) && zones.iter().any(|z| *z != w.basin) {
+            self.record.broken(&format!(
+                "wrong_place: {task} starts in {}, others of it are in {zones:?}",
+                w.basin
+            ));
+        }
+        let here = zones.iter().filter(|z| **z == w.basin).count() as u32 + 1;
+        if u.spec["apart"] == json!(true) && here > (u.num("oars") as u32).div_ceil(2) {
+            self.record.broken(&format!(
+                "wrong_place: {task} is the {here}th of its job in {}",
+                w.basin
+            ));
+        }
         if u.spec["basin"].as_str().is_some_and(|b| b != w.basin) {
             self.record
                 .broken(&format!("wrong_place: {task} starts in {}", w.basin));
@@ -289,7 +325,14 @@
         }
     }
 
-    fn task_off(&self, task: &str, w: &Worker, why: &str) {
+    fn task_off(&self, task: &str, launch: u64, w: &Worker, why: &str) {
+        let (job, index) = task.split_once('/').unwrap_or((task, "0"));
+        if let Some(g) = self.gangs.borrow_mut().get_mut(&(job.to_owned(), launch)) {
+            let index = index.parse().unwrap_or(0);
+            if g.present.get(&index).is_some_and(|x| x.id == w.id) {
+                g.present.remove(&index);
+            }
+        }
         let mut on = self.on.borrow_mut();
         if let Some(m) = on.get_mut(task)
             && m.remove(&w.id)
@@ -369,9 +412,9 @@
 
     fn kill_all(&self, why: &str) {
         let tasks = std::mem::take(&mut self.state.borrow_mut().tasks);
-        for ((task, _), t) in tasks {
+        for ((task, launch), t) in tasks {
             t.cancel.cancel();
-            self.fleet.task_off(&task, self, why);
+            self.fleet.task_off(&task, launch, self, why);
         }
     }
 
@@ -425,6 +468,7 @@
             .iter()
             .map(|((task, launch), t)| match t.at {
                 At::Pulling => json!({"oar":task,"launch":launch,"bearing":"pulling"}),
+                At::Waiting => json!({"oar":task,"launch":launch,"bearing":"waiting"}),
                 At::Running => json!({"oar":task,"launch":launch,"bearing":"running"}),
                 At::Ended => json!({"oar":task,"launch":launch,"bearing":"ended","wreck":t.wreck}),
             })
@@ -568,7 +612,7 @@
             t.wreck = wreck;
             t.cancel.cancel();
             drop(s);
-            self.fleet.task_off(&key.0, self, wreck);
+            self.fleet.task_off(&key.0, key.1, self, wreck);
             self.changed.notify();
         }
     }
@@ -647,6 +691,9 @@
             self.fleet.commands.borrow_mut().push((key.0.clone(), text));
         }
         self.fleet.task_on(&key.0, &self);
+        if u.text("hull") == "group" {
+            return self.live_in_gang(key, u).await;
+        }
         if let Some(t) = self.state.borrow_mut().tasks.get_mut(&key) {
             t.at = At::Running;
         }
@@ -672,6 +719,79 @@
     }
 }
 
+impl Worker {
+    fn become_state(&self, key: &(String, u64), at: At) {
+        if let Some(t) = self.state.borrow_mut().tasks.get_mut(key) {
+            t.at = at;
+        }
+        self.changed.notify();
+    }
+
+    async fn live_in_gang(self: Rc<Worker>, key: (String, u64), u: Upload) {
+        let (job, index) = key.0.split_once('/').unwrap_or((&key.0, "0"));
+        let (gang, index, oars) = (
+            (job.to_owned(), key.1),
+            index.parse::<u32>().unwrap_or(0),
+            u.num("oars") as usize,
+        );
+        self.become_state(&key, At::Waiting);
+        self.fleet
+            .gangs
+            .borrow_mut()
+            .entry(gang.clone())
+            .or_default()
+            .present
+            .insert(index, self.clone());
+        let came = runtime::now();
+        let mut alone_since: Option<Micros> = None;
+        let mut running_since: Option<Micros> = None;
+        let wreck = loop {
+            runtime::sleep(Micros::from_millis(50)).await;
+            self.while_hung().await;
+            let now = runtime::now();
+            let mut gangs = self.fleet.gangs.borrow_mut();
+            let Some(g) = gangs.get_mut(&gang) else {
+                break "mates_gone";
+            };
+            if g.done {
+                break "done";
+            }
+            if !g.started {
+                if g.present.len() == oars {
+                    g.started = true;
+                } else if now > came + Micros::from_secs_f64(cfg().gang_wait_s) {
+                    break "incomplete";
+                }
+                continue;
+            }
+            let whole = g.present.len() == oars && g.present.values().all(|w| !w.hung.get());
+            if whole {
+                alone_since = None;
+                let since = *running_since.get_or_insert(now);
+                if since == now {
+                    drop(gangs);
+                    self.become_state(&key, At::Running);
+                    continue;
+                }
+                if now >= since + Micros::from_secs_f64(u.run_s) {
+                    g.done = true;
+                    for i in 0..oars {
+                        self.fleet
+                            .done
+                            .borrow_mut()
+                            .insert(format!("{}/{i}", gang.0));
+                    }
+                    break "done";
+                }
+            } else if now > *alone_since.get_or_insert(now) + Micros::from_secs(5) {
+                break "mates_gone";
+            }
+        };
+        let w = self.clone();
+        runtime::spawn(async move { w.end(&key, wreck) });
+    }
+}
+
 struct Vessel {
     basin: String,
     spot: bool,
--- a/review/standins-2/src/hunt.rs
+++ b/review/standins-2/src/hunt.rs
@@ -44,6 +44,23 @@
         });
     }
     let down: Rc<RefCell<BTreeSet<usize>>> = Rc::default();
+    if std::env::var("STUTTER").is_ok() {
+        for i in 0..3 {
+            let (c, quiet, rng) = (site.controllers.clone(), quiet.clone(), rng.clone());
+            runtime::spawn(async move {
+                while !quiet.get() {
+                    let (stop, go) = {
+                        let mut r = rng.borrow_mut();
+                        (r.random_range(0.02..0.9), r.random_range(0.02..0.3))
+                    };
+                    c.signal(i, "-STOP");
+                    runtime::sleep(secs(stop)).await;
+                    c.signal(i, "-CONT");
+                    runtime::sleep(secs(go)).await;
+                }
+            });
+        }
+    }
     let end = runtime::now() + secs(70.0);
     while trouble && runtime::now() < end {
         let s = site.clone();
@@ -597,3 +614,81 @@
     );
     site.verdict()
 }
+
+/// Once met by chance: a job is accepted shortly before an outage that a slow spell follows.
+pub async fn before_outage(dir: &str) -> u8 {
+    let seed: u64 = std::env::var("SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1);
+    let Some(site) = Site::start(dir, 16).await else {
+        return 2;
+    };
+    let mut r = StdRng::seed_from_u64(seed);
+    let u = &site.users;
+    if !u
+        .submit_until_accepted(0, &job("req-000001", "fleetwatch", "array", 2), 8.0)
+        .await
+    {
+        return 2;
+    }
+    runtime::sleep(secs(r.random_range(8.0..26.0))).await;
+    let Some(l) = site.controllers.leader() else {
+        return 2;
+    };
+    for j in 0..3 {
+        site.links[l][j].held.set(true);
+        site.links[j][l].held.set(true);
+    }
+    let mut ids = Vec::new();
+    for n in 0..4u32 {
+        let id = format!("req-{:06}", 100 + n);
+        let mut j = job(&id, CREWS[n as usize % 5], "array", 1 + n);
+        j["basin"] = json!(crate::world::cfg().zones[n as usize % 3]);
+        j["driftboats"] = json!(n % 2 == 0);
+        if !u.submit_until_accepted(l, &j, 4.0).await {
+            return 2;
+        }
+        u.poll(l, &id).await;
+        ids.push(id);
+        runtime::sleep(secs(r.random_range(0.0..0.8))).await;
+    }
+    runtime::sleep(secs(r.random_range(0.0..2.5))).await;
+    site.store.set_down(true);
+    runtime::sleep(secs(r.random_range(2.0..8.0))).await;
+    for l in site.links.iter().flatten() {
+        l.held.set(false);
+    }
+    runtime::sleep(secs(r.random_range(8.0..16.0))).await;
+    for t in site.store.treatment.borrow_mut().iter_mut() {
+        t.before = secs(3.5);
+    }
+    site.store.set_down(false);
+    runtime::sleep(secs(r.random_range(1.0..9.0))).await;
+    for t in site.store.treatment.borrow_mut().iter_mut() {
+        t.before = secs(0.0);
+    }
+    site.record.line("all troubles are over");
+    let until = runtime::now() + secs(75.0);
+    while runtime::now() < until && !ids.iter().all(|j| site.fleet.is_over(j)) {
+        runtime::sleep(secs(1.0)).await;
+    }
+    let left: Vec<&String> = ids.iter().filter(|j| !site.fleet.is_over(j)).collect();
+    if !left.is_empty() {
+        println!("seed {seed}: left {left:?}");
+        for i in 0..3 {
+            let out = std::process::Command::new("target/release/hopyoke")
+                .args(["status", "--mesh"])
+                .arg(site.controllers.mesh[i].to_string())
+                .output();
+            if let Ok(o) = out {
+                site.record.line(&format!(
+                    "status of mooring-{i}:\n{}",
+                    String::from_utf8_lossy(&o.stdout)
+                ));
+            }
+        }
+    }
+    println!("seed {seed}: before-outage");
+    site.verdict()
+}
--- a/review/standins-2/src/workflows.rs
+++ b/review/standins-2/src/workflows.rs
@@ -320,3 +320,112 @@
     }
     site.verdict()
 }
+
+/// Workflows while controllers end and the state service refuses them, to look for broken promises.
+pub async fn hunt(dir: &str) -> u8 {
+    use rand::{RngExt, SeedableRng};
+    let seed: u64 = std::env::var("SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1);
+    let mut r = rand::rngs::StdRng::seed_from_u64(seed);
+    let Some(site) = Site::start_with(dir, 12, Some(POLICY)).await else {
+        return 2;
+    };
+    *site.fleet.steps.borrow_mut() = Some((site.store.clone(), 1.5));
+    let Some(service) = Service::start(&site).await else {
+        return 2;
+    };
+    let document = site.controllers.dir.join("chain.cwl");
+    std::fs::write(&document, chain("convert", &["read", "sort", "merge"])).expect("document");
+    let mut runs = Vec::new();
+    for k in 0..5 {
+        match service.submit(&site, &document, &format!("key-{k}")).await {
+            Ok(run) => runs.push(run),
+            Err(_) => return 2,
+        }
+    }
+    let end = runtime::now() + secs(45.0);
+    while runtime::now() < end {
+        let i = r.random_range(0..3usize);
+        let long = r.random_range(0.5..12.0);
+        match r.random_range(0..5) {
+            0 | 1 => {
+                site.record.line(&format!(
+                    "TROUBLE {i} ends and is back after {:.1} s",
+                    long / 4.0
+                ));
+                site.controllers.kill(i);
+                runtime::sleep(secs(long / 4.0)).await;
+                site.controllers.start(i);
+            }
+            2 => {
+                site.record
+                    .line(&format!("TROUBLE {i} stands still for {long:.1} s"));
+                site.controllers.signal(i, "-STOP");
+                runtime::sleep(secs(long)).await;
+                site.controllers.signal(i, "-CONT");
+            }
+            3 => {
+                site.record.line(&format!(
+                    "TROUBLE the state service refuses {i} for {long:.1} s"
+                ));
+                site.store.treatment.borrow_mut()[i].refused = true;
+                runtime::sleep(secs(long)).await;
+                site.store.treatment.borrow_mut()[i].refused = false;
+            }
+            _ => {
+                site.record
+                    .line(&format!("TROUBLE late answers to {i} for {long:.1} s"));
+                site.store.treatment.borrow_mut()[i].after = secs(4.0);
+                runtime::sleep(secs(long)).await;
+                site.store.treatment.borrow_mut()[i].after = secs(0.0);
+            }
+        }
+        if r.random_range(0..4) == 0 {
+            let k = r.random_range(0..5usize);
+            let again = service.submit(&site, &document, &format!("key-{k}")).await;
+            if again.as_ref().is_ok_and(|a| *a != runs[k]) {
+                site.record.broken(&format!(
+                    "a repeated submission of run {} is another run: {again:?}",
+                    runs[k]
+                ));
+            }
+        }
+        runtime::sleep(secs(r.random_range(0.2..4.0))).await;
+    }
+    let until = runtime::now() + secs(90.0);
+    let mut left = runs.clone();
+    while !left.is_empty() && runtime::now() < until {
+        runtime::sleep(secs(2.0)).await;
+        let mut still = Vec::new();
+        for run in left {
+            let (_, body) = service
+                .call(&site, Method::Get, &format!("/runs/{run}/status"))
+                .await;
+            if body["state"] != "COMPLETE" {
+                still.push(run);
+            }
+        }
+        left = still;
+    }
+    for run in &left {
+        site.record
+            .broken(&format!("run {run} isn't complete 90 s after all troubles"));
+    }
+    let starts = site.fleet.starts.borrow();
+    for run in &runs {
+        let ids: std::collections::BTreeSet<&String> = starts
+            .iter()
+            .filter(|s| s.1.starts_with(&format!("req-9{run}")))
+            .map(|s| &s.1)
+            .collect();
+        if ids.len() != 3 && !left.contains(run) {
+            site.record
+                .broken(&format!("run {run} of three steps had the tasks {ids:?}"));
+        }
+    }
+    drop(starts);
+    println!("seed {seed}: workflows");
+    site.verdict()
+}
