--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -153,6 +153,7 @@
         "before-outage" => crate::hunt::before_outage(dir).await,
         "meetings" => crate::hunt::meetings(dir).await,
         "hunt" => crate::hunt::hunt(dir, trouble).await,
+        "many-warnings" => crate::workflows::many_warnings(dir, trouble).await,
         "same-key" => crate::workflows::same_key(dir, trouble).await,
         "workflow-cancel" => crate::workflows::cancel(dir, trouble).await,
         "odd-names" => odd_names(dir, trouble).await,
--- a/review/standins-2/src/hunt.rs
+++ b/review/standins-2/src/hunt.rs
@@ -33,7 +33,24 @@
     let quiet = Rc::new(Cell::new(false));
     let next = Rc::new(Cell::new(1u32));
     site.fleet.keep_copies.set(true);
-    for _ in 0..6 {
+    let users = std::env::var("USERS").ok().and_then(|s| s.parse().ok()).unwrap_or(6);
+    if std::env::var("FLOOD").is_ok() {
+        for n in 0..3600usize {
+            let (to, quiet, rng) = (site.controllers.api[n % 3], quiet.clone(), rng.clone());
+            runtime::spawn(async move {
+                while !quiet.get() {
+                    if let Ok(c) = hopyoke_event_loop::TcpStream::connect(to, secs(5.0)).await {
+                        let mut buf = [0u8; 64];
+                        let hold = rng.borrow_mut().random_range(5.0..60.0);
+                        let _ = runtime::timeout(secs(hold), c.read(&mut buf)).await;
+                    }
+                    let pause = rng.borrow_mut().random_range(0.3..3.0);
+                    runtime::sleep(secs(pause)).await;
+                }
+            });
+        }
+    }
+    for _ in 0..users {
         let (u, rng, quiet, next) = (site.users.clone(), rng.clone(), quiet.clone(), next.clone());
         runtime::spawn(async move {
             while !quiet.get() {
@@ -51,7 +68,12 @@
                 while !quiet.get() {
                     let (stop, go) = {
                         let mut r = rng.borrow_mut();
-                        (r.random_range(0.02..0.9), r.random_range(0.02..0.3))
+                        if std::env::var("STUTTER").is_ok_and(|v| v == "2") {
+                            let long = r.random_bool(0.004);
+                            (if long { 3.0 } else { r.random_range(0.09..0.16) }, r.random_range(0.006..0.016))
+                        } else {
+                            (r.random_range(0.02..0.9), r.random_range(0.02..0.3))
+                        }
                     };
                     c.signal(i, "-STOP");
                     runtime::sleep(secs(stop)).await;
--- a/review/standins-2/src/workflows.rs
+++ b/review/standins-2/src/workflows.rs
@@ -429,3 +429,78 @@
     println!("seed {seed}: workflows");
     site.verdict()
 }
+
+/// A workflow with hints for another engine, which are allowed to be ignored, and, with `needs_file`, a requirement that is not
+/// supported: its last tool needs a file that the document itself holds.
+fn foreign_hints(needs_file: bool) -> String {
+    let mut t = String::from(
+        "cwlVersion: v1.2\nclass: Workflow\n$namespaces: {hopyoke: \"urn:hopyoke:cwl#\", other: \"urn:example:other#\"}\nhints:\n  hopyoke:Scheduling: {jobClass: ledger, estimate: 10, imageGb: 0.3}\ninputs: {}\noutputs: {page: {type: File, outputSource: merge/page}}\nsteps:\n",
+    );
+    for i in 0..8 {
+        t += &format!(
+            "  convert{i}:\n    in: {{}}\n    out: [page]\n    run:\n      class: CommandLineTool\n      hints:\n"
+        );
+        for h in 0..26 {
+            t += &format!("        \"other:Hint{h:02}\": {{value: {h}}}\n");
+        }
+        t += &format!(
+            "      baseCommand: [convert, page{i}]\n      inputs: {{}}\n      outputs: {{page: {{type: File, outputBinding: {{glob: p.json}}}}}}\n"
+        );
+    }
+    let requirement = if needs_file {
+        "      requirements: {InitialWorkDirRequirement: {listing: [{entryname: rates.csv, entry: \"EUR 1.0\"}]}}\n"
+    } else {
+        ""
+    };
+    t += &format!(
+        "  merge:\n    in: {{before: convert0/page}}\n    out: [page]\n    run:\n      class: CommandLineTool\n{requirement}      baseCommand: [merge, rates.csv]\n      inputs: {{before: File}}\n      outputs: {{page: {{type: File, outputBinding: {{glob: m.json}}}}}}\n"
+    );
+    t
+}
+
+/// A document with a requirement that the service can't meet has to be refused, however many warnings stand before it.
+pub async fn many_warnings(dir: &str, trouble: bool) -> u8 {
+    let Some(site) = Site::start_with(dir, 4, Some(POLICY)).await else {
+        return 2;
+    };
+    *site.fleet.steps.borrow_mut() = Some((site.store.clone(), 2.0));
+    let Some(service) = Service::start(&site).await else {
+        return 2;
+    };
+    *site.fleet.descriptions.borrow_mut() = Some(service.descriptions.clone());
+    let document = site.controllers.dir.join("hints.cwl");
+    std::fs::write(&document, foreign_hints(trouble)).expect("document");
+    let run = match service.submit(&site, &document, "hints-1").await {
+        Ok(run) => run,
+        Err(_) if trouble => {
+            site.record.line("the document was refused");
+            return site.verdict();
+        }
+        Err(_) => return 2,
+    };
+    let until = runtime::now() + secs(90.0);
+    let mut state = String::new();
+    while runtime::now() < until
+        && !matches!(
+            state.as_str(),
+            "COMPLETE" | "EXECUTOR_ERROR" | "SYSTEM_ERROR"
+        )
+    {
+        runtime::sleep(secs(2.0)).await;
+        let (_, body) = service
+            .call(&site, Method::Get, &format!("/runs/{run}/status"))
+            .await;
+        state = body["state"].as_str().unwrap_or("").to_owned();
+    }
+    let commands = site.fleet.commands.borrow();
+    let merge = commands.iter().find(|c| c.1.contains("\"merge\"")).cloned();
+    drop(commands);
+    match merge {
+        Some((task, text)) if trouble => site.record.broken(&format!(
+            "accepted though it can't run: {task} was started without the file that its document requires, and the run is {state}: {text}"
+        )),
+        Some(_) if state == "COMPLETE" => {}
+        _ => return 2,
+    }
+    site.verdict()
+}
