--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -151,6 +151,7 @@
         "failed-once" => failed_once(dir, trouble).await,
         "workflow-hunt" => crate::workflows::hunt(dir).await,
         "before-outage" => crate::hunt::before_outage(dir).await,
+        "slow-state" => crate::hunt::slow_state(dir).await,
         "meetings" => crate::hunt::meetings(dir).await,
         "hunt" => crate::hunt::hunt(dir, trouble).await,
         "many-warnings" => crate::workflows::many_warnings(dir, trouble).await,
@@ -237,17 +238,6 @@
         return 2;
     };
     let u = &site.users;
-    // Ordinary work, which runs and is done.
-    if !u
-        .submit_until_accepted(0, &job("req-000101", "ledgermove", "array", 2), 3.0)
-        .await
-    {
-        return 2;
-    }
-    let until = runtime::now() + secs(12.0);
-    while runtime::now() < until && u.poll(0, "req-000101").await.is_none_or(|b| b != "done") {
-        runtime::sleep(secs(1.0)).await;
-    }
     if trouble
         && !u
             .submit_until_accepted(1, &odd_job("req-000100"), 3.0)
@@ -257,7 +247,6 @@
             .line("the job with garbage among its machine types was not accepted");
         return 2;
     }
-    runtime::sleep(secs(1.0)).await;
     // Ordinary jobs of other teams.
     let mut jobs = Vec::new();
     for (i, crew) in ["skipperops", "dockworks", "ledgermove", "bookingdesk"]
@@ -266,14 +255,18 @@
     {
         let id = format!("req-00020{i}");
         if !u
-            .submit_until_accepted(i % 3, &job(&id, crew, "array", 1), 3.0)
+            .submit_until_accepted(i % 3, &job(&id, crew, "array", 1 + i as u32 % 2), 3.0)
             .await
         {
             return 2;
         }
         jobs.push(id);
     }
-    watch_waiting(&site, &jobs, runtime::now() + secs(95.0)).await;
+    watch_waiting(&site, &jobs, runtime::now() + secs(98.0)).await;
+    if site.fleet.starts.borrow().is_empty() {
+        site.record
+            .broken("nothing_ran: no task of any job was started");
+    }
     let refused = site.store.malformed.get();
     site.record.line(&format!(
         "the state service refused {refused} transactions, the last one for: {}",
--- a/review/standins-2/src/hunt.rs
+++ b/review/standins-2/src/hunt.rs
@@ -33,7 +33,10 @@
     let quiet = Rc::new(Cell::new(false));
     let next = Rc::new(Cell::new(1u32));
     site.fleet.keep_copies.set(true);
-    let users = std::env::var("USERS").ok().and_then(|s| s.parse().ok()).unwrap_or(6);
+    let users = std::env::var("USERS")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(6);
     if std::env::var("FLOOD").is_ok() {
         for n in 0..3600usize {
             let (to, quiet, rng) = (site.controllers.api[n % 3], quiet.clone(), rng.clone());
@@ -70,7 +73,14 @@
                         let mut r = rng.borrow_mut();
                         if std::env::var("STUTTER").is_ok_and(|v| v == "2") {
                             let long = r.random_bool(0.004);
-                            (if long { 3.0 } else { r.random_range(0.09..0.16) }, r.random_range(0.006..0.016))
+                            (
+                                if long {
+                                    3.0
+                                } else {
+                                    r.random_range(0.09..0.16)
+                                },
+                                r.random_range(0.006..0.016),
+                            )
                         } else {
                             (r.random_range(0.02..0.9), r.random_range(0.02..0.3))
                         }
@@ -714,3 +724,56 @@
     println!("seed {seed}: before-outage");
     site.verdict()
 }
+
+/// A slow state service, and a leader that ends and is back at once.
+pub async fn slow_state(dir: &str) -> u8 {
+    let slow: f64 = std::env::var("SLOW")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1.7);
+    let Some(site) = Site::start(dir, 16).await else {
+        return 2;
+    };
+    let u = &site.users;
+    if !u
+        .submit_until_accepted(0, &job("req-000001", "fleetwatch", "array", 1), 60.0)
+        .await
+    {
+        return 2;
+    }
+    runtime::sleep(secs(6.0)).await;
+    for t in site.store.treatment.borrow_mut().iter_mut() {
+        t.before = secs(slow);
+    }
+    let Some(l) = site.controllers.leader() else {
+        return 2;
+    };
+    site.controllers.kill(l);
+    site.controllers.start(l);
+    runtime::sleep(secs(5.0)).await;
+    let accepted = u
+        .submit_until_accepted(
+            (l + 1) % 3,
+            &job("req-000002", "skipperops", "array", 1),
+            4.0,
+        )
+        .await;
+    let at = runtime::now();
+    let mut answered = [0u32; 2];
+    let mut asked = 0;
+    while runtime::now() < at + secs(75.0) && !site.fleet.is_over("req-000002") {
+        runtime::sleep(secs(2.0)).await;
+        asked += 1;
+        for (k, j) in ["req-000001", "req-000002"].iter().enumerate() {
+            answered[k] += u32::from(u.poll(asked % 3, j).await.is_some());
+        }
+    }
+    println!(
+        "slow {slow}: accepted {accepted}, started after {:?}, asked {asked} times, answered {answered:?}, over {}",
+        site.fleet
+            .started("req-000002")
+            .map(|t| (t - at).as_secs_f64()),
+        site.fleet.is_over("req-000002")
+    );
+    site.verdict()
+}
