--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -1,7 +1,7 @@
 //! State service, as PROTOCOL-hopyoke describes it, with one listener for each controller, so that a single controller
 //! can be refused.
 
-use crate::world::{cfg, json_len, lost_answer, serve, target};
+use crate::world::{cfg, json_len, serve, target};
 use hopyoke_event_loop::http::{Method, Request, Response};
 use hopyoke_event_loop::{self as runtime};
 use hopyoke_protocol::decode;
@@ -426,12 +426,6 @@
             let _ = runtime::timeout(left, changed).await;
         }
     }
-
-    /// Never used for an answer that the page allows; kept for requests whose answer is to be lost.
-    #[allow(dead_code)]
-    async fn lose(&self) -> Response {
-        lost_answer().await
-    }
 }
 
 impl Inner {
