--- a/review/standins-2/src/users.rs
+++ b/review/standins-2/src/users.rs
@@ -195,6 +195,6 @@
 /// A job of one class of the small deployment; tests change single fields.
 pub fn job(id: &str, crew: &str, hull: &str, oars: u32) -> Value {
     json!({"id":id,"berth":"routecast","crew":crew,"hull":hull,"rank":"standard","oars":oars,"cpus":6.0,"cards":1.0,
-        "mem_gb":24.0,"cargo":"img-07","pull_gb":0.3,"rigs":["bancarig"],"basin":null,"together":false,"apart":false,
+        "mem_gb":24.0,"cargo":"img-07","pull_gb":0.3,"rigs":[crate::world::cfg().rig],"basin":null,"together":false,"apart":false,
         "driftboats":false,"voyage_s":10.0,"logbook_s":0.0,"stow_s":0.0,"ashore_s":null})
 }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -115,3 +115,108 @@
 pub async fn lost_answer() -> Response {
     std::future::pending().await
 }
+
+/// What a deployment's site file says, as far as the stand-ins need it.
+pub struct Config {
+    pub zones: [&'static str; 3],
+    pub rig: &'static str,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub cancel_s: f64,
+    pub rps: f64,
+    pub write_rps: f64,
+    pub cloud_rps: f64,
+    pub list_lag_s: f64,
+    pub cores: f64,
+    pub mem_mb: f64,
+    pub max_connections: u32,
+    /// Machines that are up at the start, by zone.
+    pub up: [u32; 3],
+    /// Team, GPUs guaranteed, GPUs at most.
+    pub teams: [(&'static str, f64, f64); 5],
+}
+
+pub static HIRE: Config = Config {
+    zones: ["pasigeast", "pasigwest", "lagunaside"],
+    rig: "bancarig",
+    cpus: 16.0,
+    cards: 2.0,
+    mem_gb: 64.0,
+    cache_gb: 70.0,
+    fetch_gb_per_s: 0.6,
+    price: 7.19,
+    spot_price: 2.64,
+    boot_s: 45.0,
+    report_s: 2.0,
+    lease_s: 14.0,
+    gang_wait_s: 50.0,
+    cancel_s: 34.0,
+    rps: 150.0,
+    write_rps: 25.0,
+    cloud_rps: 5.0,
+    list_lag_s: 4.0,
+    cores: 0.096,
+    mem_mb: 56.0,
+    max_connections: 1500,
+    up: [1, 1, 2],
+    teams: [
+        ("bookingdesk", 8.0, 16.0),
+        ("fleetwatch", 16.0, 64.0),
+        ("ledgermove", 16.0, 40.0),
+        ("skipperops", 10.0, 40.0),
+        ("dockworks", 16.0, 56.0),
+    ],
+};
+
+/// `heirloomlane`, of whose machine types only the smaller one is offered. It has four teams.
+pub static LANE: Config = Config {
+    zones: ["portsmouth", "worcester", "burlington"],
+    rig: "snapbox",
+    cpus: 16.0,
+    cards: 2.0,
+    mem_gb: 96.0,
+    cache_gb: 120.0,
+    fetch_gb_per_s: 1.0,
+    price: 6.66,
+    spot_price: 2.59,
+    boot_s: 35.0,
+    report_s: 3.0,
+    lease_s: 38.0,
+    gang_wait_s: 40.0,
+    cancel_s: 63.0,
+    rps: 200.0,
+    write_rps: 60.0,
+    cloud_rps: 3.0,
+    list_lag_s: 8.0,
+    cores: 0.16,
+    mem_mb: 136.0,
+    max_connections: 3000,
+    up: [0, 0, 0],
+    teams: [
+        ("albumcrew", 16.0, 40.0),
+        ("archivecrew", 24.0, 64.0),
+        ("supportdesk", 8.0, 40.0),
+        ("billingdesk", 16.0, 48.0),
+        ("", 0.0, 0.0),
+    ],
+};
+
+static CONFIG: std::sync::OnceLock<&'static Config> = std::sync::OnceLock::new();
+
+/// Chooses the deployment; before anything is started.
+pub fn choose(config: &'static Config) {
+    let _ = CONFIG.set(config);
+}
+
+pub fn cfg() -> &'static Config {
+    CONFIG.get_or_init(|| &HIRE)
+}
