Simulated store counts JSON and rejects what exceeds its limits

The simulated store asserted that job records, registry pages and pages of learned run times fit a value, for these kinds alone, and applied every transaction, however large. Now each value and each whole transaction is counted in JSON, as the protocol has it, with the limits on changes and conditions.

New for scenarios: `submit ... odd BYTES` (names of control characters among the machine types) and `reject_put KEY` (400 to every transaction that writes a key). `json_len` of hopyoke-protocol counts a message's JSON form.

--- a/crates/hopyoke-simulator/src/kv_store.rs
+++ b/crates/hopyoke-simulator/src/kv_store.rs
@@ -2,6 +2,7 @@
 
 use super::Simulation;
 use super::digest::Channel;
+use super::size_limits::exceeded_limit;
 use hopyoke_protocol::worker::Heartbeat;
 use hopyoke_scheduler::{EndRecord, JobRecord, RegistryPage};
 use hopyoke_types::{FencingToken, Micros};
@@ -50,6 +51,19 @@
     pub(crate) lost_renewals: FaultWindow,
     /// Share of the transactions that get no response and are applied after a delay.
     pub(crate) delayed_writes: FaultWindow,
+    /// Keys whose puts the store rejects as invalid, and until when.
+    pub(crate) invalid_keys: BTreeMap<String, Micros>,
+}
+
+/// Why a transaction was not applied.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TransactionError {
+    /// 409: the comparisons of these keys failed.
+    CompareFailed(Vec<String>),
+    /// 400: a put uses an expired lease.
+    LeaseExpired,
+    /// 400: the transaction is invalid, whatever the store contains.
+    Invalid,
 }
 
 /// A write within a transaction. A put may attach the key to a lease.
@@ -63,12 +77,12 @@
     ///
     /// # Errors
     ///
-    /// Returns the keys whose comparison failed, or no keys if a put uses an expired lease.
-    pub(crate) fn txn(
+    /// Returns why nothing was applied.
+    fn txn(
         &mut self,
         compares: &[(String, u64)],
         mutations: Vec<Mutation>,
-    ) -> Result<u64, Vec<String>> {
+    ) -> Result<u64, TransactionError> {
         let mod_revision = |key: &String| self.entries.get(key).map_or(0, |e| e.mod_revision);
         let failed_keys: Vec<String> = compares
             .iter()
@@ -76,37 +90,18 @@
             .map(|(k, _)| k.clone())
             .collect();
         if !failed_keys.is_empty() {
-            return Err(failed_keys);
+            return Err(TransactionError::CompareFailed(failed_keys));
         }
 
         let on_expired_lease = |m: &Mutation| matches!(m, Mutation::Put(_, _, Some(l)) if !self.leases.contains_key(l));
         if mutations.iter().any(on_expired_lease) {
-            return Err(Vec::new());
+            return Err(TransactionError::LeaseExpired);
         }
         self.revision += 1;
         let mod_revision = self.revision;
         for mutation in mutations {
             match mutation {
                 Mutation::Put(key, value, lease) => {
-                    // The real store rejects larger values.
-                    if let Value::JobRecord(record) = &value {
-                        let size = serde_json::to_vec(record).map_or(0, |v| v.len());
-                        assert!(size <= 8192, "job record of {size} bytes exceeds the limit");
-                    }
-                    if let Value::RegistryPage(page) = &value {
-                        let size = serde_json::to_vec(page).map_or(0, |v| v.len());
-                        assert!(
-                            size <= 8192,
-                            "registry page of {size} bytes exceeds the limit"
-                        );
-                    }
-                    if let Value::RunTimesPage(page) = &value {
-                        let size = serde_json::to_vec(page).map_or(0, |v| v.len());
-                        assert!(
-                            size <= 8192,
-                            "run times page of {size} bytes exceeds the limit"
-                        );
-                    }
                     self.log.push((mod_revision, key.clone(), false));
                     self.entries.insert(
                         key,
@@ -209,28 +204,51 @@
         &mut self,
         compares: &[(String, u64)],
         mutations: Vec<Mutation>,
-    ) -> Option<Result<u64, Vec<String>>> {
+    ) -> Option<Result<u64, TransactionError>> {
         self.digest_transaction(compares, &mutations);
         match self.draw_transaction_outcome() {
             TransactionOutcome::Applied => {
-                let result = self.kv_store.txn(compares, mutations);
-                self.digest_message(Channel::TransactionResult, &result);
+                let result = self.execute(compares, mutations);
+                let failed_keys = |error: &TransactionError| match error {
+                    TransactionError::CompareFailed(keys) => keys.clone(),
+                    TransactionError::LeaseExpired | TransactionError::Invalid => Vec::new(),
+                };
+                let digested = result.as_ref().map_err(failed_keys);
+                self.digest_message(Channel::TransactionResult, &digested);
                 Some(result)
             }
             TransactionOutcome::ResponseLost => {
-                let _ = self.kv_store.txn(compares, mutations);
+                let _ = self.execute(compares, mutations);
                 None
             }
             TransactionOutcome::Delayed(delay) => {
                 let compares = compares.to_vec();
-                self.after(delay, move |sim| {
-                    drop(sim.kv_store.txn(&compares, mutations))
-                });
+                self.after(delay, move |sim| drop(sim.execute(&compares, mutations)));
                 None
             }
         }
     }
 
+    /// Executes a transaction, unless it is invalid. A transaction that exceeds a size limit violates an invariant: no
+    /// node may send one.
+    fn execute(
+        &mut self,
+        compares: &[(String, u64)],
+        mutations: Vec<Mutation>,
+    ) -> Result<u64, TransactionError> {
+        if let Some(limit) = exceeded_limit(compares, &mutations) {
+            self.record_violation("store_limits", limit);
+            return Err(TransactionError::Invalid);
+        }
+        let now = self.now;
+        let invalid_keys = &self.kv_store.invalid_keys;
+        let is_invalid = |mutation: &Mutation| matches!(mutation, Mutation::Put(key, ..) if invalid_keys.get(key).is_some_and(|until| now < *until));
+        if mutations.iter().any(is_invalid) {
+            return Err(TransactionError::Invalid);
+        }
+        self.kv_store.txn(compares, mutations)
+    }
+
     /// Returns whether the store now rejects requests of this node.
     pub(crate) fn store_rejects(&self, node: usize) -> bool {
         self.store_is_down()
--- a/crates/hopyoke-simulator/src/lib.rs
+++ b/crates/hopyoke-simulator/src/lib.rs
@@ -16,6 +16,7 @@
 mod node;
 pub mod scenario;
 mod simulation;
+mod size_limits;
 mod user_observations;
 mod users;
 
--- a/crates/hopyoke-simulator/src/node/persist.rs
+++ b/crates/hopyoke-simulator/src/node/persist.rs
@@ -1,6 +1,6 @@
 //! Commits of the scheduler's batches of writes.
 
-use crate::kv_store::{Mutation, Value};
+use crate::kv_store::{Mutation, TransactionError, Value};
 use crate::{Host, Simulation};
 use hopyoke_consistency::latency::{Purpose, RequestKind};
 use hopyoke_protocol::user::JobState;
@@ -82,6 +82,14 @@
     }
 }
 
+/// Returns the error of a batch whose transaction failed.
+fn batch_error(error: &TransactionError) -> BatchError {
+    match error {
+        TransactionError::CompareFailed(keys) => conflict(keys),
+        TransactionError::LeaseExpired | TransactionError::Invalid => BatchError::NotApplied,
+    }
+}
+
 /// Returns why a batch failed, given the keys whose compares did not hold.
 fn conflict(keys: &[String]) -> BatchError {
     if keys.iter().any(|k| k == "leader") {
@@ -127,7 +135,7 @@
                 else {
                     return;
                 };
-                result.map(ModRevision).map_err(|keys| conflict(&keys))
+                result.map(ModRevision).map_err(|e| batch_error(&e))
             };
             sim.send(Host::KvStore, Host::Node(node), move |sim| {
                 // After the timeout the response is ignored, even if the timer itself fires late.
--- a/crates/hopyoke-simulator/src/scenario/store_faults.rs
+++ b/crates/hopyoke-simulator/src/scenario/store_faults.rs
@@ -25,6 +25,11 @@
                 sim.kv_store.rejected_nodes.insert(node, until);
             }
         }
+        "reject_put" => {
+            let key = next_word(words).to_owned();
+            let until = fault_end(sim, words);
+            sim.kv_store.invalid_keys.insert(key, until);
+        }
         "outage" => sim.begin_outage(seconds(next_word(words))),
         "lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports"
         | "late_commands" => open_fault_window(sim, name, words),
--- a/crates/hopyoke-simulator/src/scenario/workload.rs
+++ b/crates/hopyoke-simulator/src/scenario/workload.rs
@@ -5,11 +5,16 @@
 use crate::kv_store::FaultWindow;
 use crate::{JobGroundTruth, START_TIME_OF_DAY, Simulation};
 use hopyoke_calendar::StaffingOverride;
+use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::{JobKind, JobSpec, Priority};
+use hopyoke_scheduler::JobRecord;
 use hopyoke_types::{JobId, Micros};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// Machine type of the simulated cluster.
+const MACHINE_TYPE: &str = "std";
+
 /// Executes a workload event. Returns false if `name` is not one.
 pub(super) fn event(sim: &mut Simulation, name: &str, words: &mut Words<'_>) -> bool {
     match name {
@@ -98,6 +103,27 @@
     (0..n).map(add).collect()
 }
 
+/// Adds names of control characters to the allowed machine types, until the job's first record takes `record_bytes` bytes
+/// of JSON. Such a character takes one byte in MessagePack and six in JSON.
+fn with_odd_machine_types(mut spec: JobSpec, record_bytes: usize) -> JobSpec {
+    const MAX_NAME_CHARS: usize = 150;
+    let len = |spec: &JobSpec| json_len(&JobRecord::accepted(spec.clone(), START_TIME_OF_DAY.0));
+    let mut names = vec![MACHINE_TYPE.to_owned(), String::new()];
+    loop {
+        spec.machine_types = Some(names.clone());
+        let missing = record_bytes.saturating_sub(len(&spec));
+        let last = names.last_mut().expect("a name");
+        match missing {
+            0 => return spec,
+            1..=5 => last.push('x'),
+            _ if last.len() < MAX_NAME_CHARS => last.push('\u{1}'),
+            // A further name begins with a comma and quotes.
+            6..=8 => last.push('x'),
+            _ => names.push(String::new()),
+        }
+    }
+}
+
 /// Builds a job of a kind (`array`, `gang`, `service`) with the given properties, and defaults for the others.
 ///
 /// # Panics
@@ -144,6 +170,10 @@
         checkpoint_save_s: get("save", 0.0),
         deadline_s: pairs.get("deadline").map(|v| number(v)),
     };
+    let spec = match pairs.get("odd") {
+        Some(bytes) => with_odd_machine_types(spec, number(bytes) as usize),
+        None => spec,
+    };
     JobGroundTruth {
         run_time: Micros::from_secs_f64(run),
         always_fails: yes("fails"),
