A record that the store rejects as invalid no longer stops the others

Cause: the record writer took 400, which means that the request itself is invalid, for a refusal that passes (`BatchError::NotApplied`), and the scheduler built the same batch again every 200 ms, with the invalid write in it. A batch is applied as a whole, so no record of any job was written, and each new leader did the same.

Change: client errors other than timeouts and rate limits are `StoreError::Invalid`. A rejected batch is halved, each half tried in a batch of its own, until the invalid write stands alone; that one is set aside with a backoff of its own (1 to 30 s), logged with its key and size and listed by `status`. All other writes go on in ordinary batches. No machines are added to a registry page that was rejected.

--- a/crates/hopyoke-scheduler/src/lib.rs
+++ b/crates/hopyoke-scheduler/src/lib.rs
@@ -33,6 +33,7 @@
     Allocation, AllocationState, EndRecord, Job, JobRecord, Load, Machine, MachinePhase, WaitReason,
 };
 pub use persist::batch::{Batch, BatchError, RegistryPage, Write};
+pub use persist::rejected_writes::{Rejection, WriteKey};
 pub use reconcile::heartbeats::HeartbeatReply;
 pub use reconcile::restart_check::RestartDecision;
 pub use resources::{Resources, Team, unschedulable_reason};
--- a/crates/hopyoke-scheduler/src/persist/batch.rs
+++ b/crates/hopyoke-scheduler/src/persist/batch.rs
@@ -1,6 +1,8 @@
 //! Batches of writes to the key-value store, shared by the record writer and the machine registry.
 
+use super::rejected_writes::WriteKey;
 use crate::ledger::{EndRecord, JobRecord};
+use hopyoke_protocol::json_len;
 use hopyoke_run_times::{Page, PageKey};
 use hopyoke_types::{FencingToken, JobId, MachineId, ModRevision};
 use serde::{Deserialize, Serialize};
@@ -55,6 +57,33 @@
     },
 }
 
+impl Write {
+    /// Returns what the write is about.
+    pub fn key(&self) -> WriteKey {
+        match self {
+            Write::Update { job, .. } => WriteKey::JobUpdate(job.clone()),
+            Write::End { job, .. } => WriteKey::JobEnd(job.clone()),
+            Write::Page { key, .. } | Write::DeletePage { key } => {
+                WriteKey::RegistryPage(key.clone())
+            }
+            Write::Term { .. } => WriteKey::Term,
+            Write::LearnedRunTimes { key, .. } => WriteKey::LearnedRunTimes(*key),
+        }
+    }
+
+    /// Returns the size of its value in JSON, in bytes; 0 for a deletion.
+    pub fn value_len(&self) -> usize {
+        match self {
+            Write::Update { record, .. } => json_len(record),
+            Write::End { end, .. } => json_len(end),
+            Write::Page { page, .. } => page.as_ref().map_or(0, json_len),
+            Write::Term { token } => json_len(token),
+            Write::LearnedRunTimes { page, .. } => json_len(page),
+            Write::DeletePage { .. } => 0,
+        }
+    }
+}
+
 /// Writes that are applied atomically.
 #[derive(Debug, Clone)]
 pub struct Batch {
@@ -84,8 +113,10 @@
     },
     /// The fencing token is stale: another node leads. Nothing was applied.
     LeadershipLost,
-    /// Certainly not applied.
+    /// Certainly not applied, for a reason that may pass.
     NotApplied,
+    /// Not applied: the store rejects the batch as invalid, and would again.
+    Invalid,
     /// It may have been applied, or may still be.
     OutcomeUnknown,
 }
--- a/crates/hopyoke-scheduler/src/persist/mod.rs
+++ b/crates/hopyoke-scheduler/src/persist/mod.rs
@@ -3,3 +3,4 @@
 pub(crate) mod batch;
 pub(crate) mod records;
 pub(crate) mod registry;
+pub(crate) mod rejected_writes;
--- a/crates/hopyoke-scheduler/src/persist/records.rs
+++ b/crates/hopyoke-scheduler/src/persist/records.rs
@@ -2,11 +2,12 @@
 //! use at most half of the store's write rate.
 
 use super::batch::{Batch, BatchError, RegistryPage, Write};
-use crate::ledger::JobRecord;
+use super::rejected_writes::{RejectedWrites, Rejection, Selection, WriteKey};
+use crate::ledger::{Job, JobRecord};
 use crate::{Action, MachinePhase, Scheduler, SchedulerConfig};
 use hopyoke_types::Micros;
 use hopyoke_types::{FencingToken, JobId, MachineId, ModRevision};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Pending writes and the rate limit on them.
 pub(crate) struct Writes {
@@ -23,8 +24,12 @@
     deferrable_budget: f64,
     /// Pages of the machine registry are not rewritten for removals alone before this time.
     removals_not_before: Micros,
+    rejected: RejectedWrites,
 }
 
+/// Budget from which writes that the store may reject are tried, so that any single write fits.
+const MIN_TRIAL_BUDGET: f64 = 2.0;
+
 /// Share of the leader's write rate that deferrable writes get while admission is saturated.
 const DEFERRABLE_SHARE: f64 = 0.3;
 
@@ -41,6 +46,7 @@
             admission_saturated: false,
             deferrable_budget: 0.0,
             removals_not_before: Micros::ZERO,
+            rejected: RejectedWrites::default(),
         }
     }
 
@@ -114,15 +120,65 @@
         self.writes.budget < 1.0 && self.has_writes()
     }
 
+    /// Returns the writes that the store has rejected as invalid, which are set aside.
+    pub fn rejected_writes(&self) -> &BTreeMap<WriteKey, Rejection> {
+        self.writes.rejected.rejections()
+    }
+
     /// Returns the next batch of writes. `None` if none is due, or the rate limit or the delay after an
     /// error forbids it.
     pub fn next_batch(&mut self, now: Micros) -> Option<Batch> {
         let rate = self.cfg.max_writes_per_s / 2.0;
-        let max_budget = rate.max(4.0);
-        self.writes.refill(rate, max_budget, now);
+        self.writes.refill(rate, self.max_write_budget(), now);
         if now < self.writes.retry_not_before || self.writes.budget < 1.0 {
             return None;
         }
+        if self.writes.budget >= MIN_TRIAL_BUDGET
+            && let Selection::Only(keys) = self.writes.rejected.next_selection(now)
+            && let Some(batch) = self.trial_batch(keys, now)
+        {
+            return Some(batch);
+        }
+        let selection = self.writes.rejected.all_others(now);
+        self.batch_of(&selection, now)
+    }
+
+    fn max_write_budget(&self) -> f64 {
+        (self.cfg.max_writes_per_s / 2.0).max(4.0)
+    }
+
+    /// Returns a batch that serves to find or to retry an invalid write. `None` if none of these writes is needed any
+    /// more.
+    fn trial_batch(&mut self, keys: BTreeSet<WriteKey>, now: Micros) -> Option<Batch> {
+        let batch = self.batch_of(&Selection::Only(keys.clone()), now);
+        let tried: BTreeSet<WriteKey> = batch
+            .iter()
+            .flat_map(|b| b.writes.iter().map(Write::key))
+            .collect();
+        let (left_out, unneeded): (BTreeSet<WriteKey>, BTreeSet<WriteKey>) = keys
+            .into_iter()
+            .filter(|key| !tried.contains(key))
+            .partition(|key| self.is_write_pending(key));
+        for key in &unneeded {
+            self.writes.rejected.forget(key);
+        }
+        self.writes.rejected.add_suspects(left_out);
+        batch
+    }
+
+    /// Returns whether a write is still to be made.
+    fn is_write_pending(&self, key: &WriteKey) -> bool {
+        let job = |id: &JobId| self.jobs.get(id).filter(|job| job.needs_write());
+        match key {
+            WriteKey::JobUpdate(id) => job(id).is_some_and(|job| !job.is_finished()),
+            WriteKey::JobEnd(id) => job(id).is_some_and(Job::is_finished),
+            WriteKey::RegistryPage(page) => self.registry.is_write_pending(page),
+            WriteKey::LearnedRunTimes(_) | WriteKey::Term => false,
+        }
+    }
+
+    /// Builds a batch of selected writes and charges it to the budget. `None` if none is due.
+    fn batch_of(&mut self, selection: &Selection, now: Micros) -> Option<Batch> {
         let mut builder = BatchBuilder {
             writes: Vec::new(),
             ops: 0,
@@ -131,32 +187,21 @@
         };
         // Order: starts, for which tasks wait; additions to the registry, for which machines wait before
         // their first task; ends; gathered progress.
-        let mut start_writes = self.jobs_by_priority(max_budget, now);
+        let mut start_writes = self.jobs_by_priority(selection, now);
         let split = start_writes.partition_point(|(priority, _)| *priority == WritePriority::Start);
         let other_writes = start_writes.split_off(split);
         self.add_job_writes(&mut builder, start_writes);
-        self.add_registry_writes(&mut builder, false);
+        self.add_registry_writes(&mut builder, selection.is_trial(), selection);
         self.add_job_writes(&mut builder, other_writes);
         if now >= self.writes.removals_not_before
             && builder.fits(2, 0)
             && self.registry.has_removals()
         {
             self.writes.removals_not_before = now + Micros::from_millis(500);
-            self.add_registry_writes(&mut builder, true);
-        }
-        // Learned run times come last, in a batch of their own and at their own rate: nothing waits for
-        // them.
-        if builder.writes.is_empty()
-            && let Some((key, page)) = self.next_learned_page(now)
-        {
-            builder.push(
-                Write::LearnedRunTimes { key, page },
-                1,
-                self.cfg.max_value_bytes,
-            );
+            self.add_registry_writes(&mut builder, true, selection);
         }
-        if builder.writes.is_empty() && self.command_tokens.is_write_due(now) {
-            builder.push(Write::Term { token: self.token }, 1, 0);
+        if builder.writes.is_empty() {
+            self.add_lone_write(&mut builder, selection, now);
         }
         if builder.writes.is_empty() {
             return None;
@@ -167,9 +212,28 @@
         })
     }
 
+    /// Adds one of the writes for which nothing waits and which have batches of their own: learned run times, at their
+    /// own rate, or the record of the term.
+    fn add_lone_write(&mut self, builder: &mut BatchBuilder, selection: &Selection, now: Micros) {
+        if let Some((key, page)) = self.next_learned_page(now) {
+            if !selection.contains(&WriteKey::LearnedRunTimes(key)) {
+                return self.learned_page_written(key, false);
+            }
+            let write = Write::LearnedRunTimes { key, page };
+            builder.push(write, 1, self.cfg.max_value_bytes);
+        } else if self.command_tokens.is_write_due(now) && selection.contains(&WriteKey::Term) {
+            builder.push(Write::Term { token: self.token }, 1, 0);
+        }
+    }
+
     /// Returns the jobs whose records are to be written now, by priority. Forgets jobs that need no write.
-    fn jobs_by_priority(&mut self, max_budget: f64, now: Micros) -> Vec<(WritePriority, JobId)> {
+    fn jobs_by_priority(
+        &mut self,
+        selection: &Selection,
+        now: Micros,
+    ) -> Vec<(WritePriority, JobId)> {
         let mut ranked = Vec::new();
+        let max_budget = self.max_write_budget();
         let writes = &mut self.writes;
         let (jobs, tuning, machines) = (&self.jobs, &self.tuning, &self.machines);
         let is_up = |m: &MachineId| machines.get(m).is_some_and(|m| m.phase == MachinePhase::Up);
@@ -190,6 +254,13 @@
                 return false;
             }
             let since = *since.get_or_insert(now);
+            if !selection.is_everything() && !selection.contains(&write_key(id, job)) {
+                return true;
+            }
+            if selection.is_trial() {
+                ranked.push((WritePriority::Start, id.clone()));
+                return true;
+            }
             let priority = if job.start_attempt != job.recorded_start_attempt {
                 // Deferrable: no task can start before one of its machines is up.
                 if admission_saturated && !job.attempts.values().flatten().any(|(m, _)| is_up(m)) {
@@ -248,7 +319,12 @@
 
     /// Adds writes of registry pages. A machine is registered after its first heartbeat and before its
     /// first task, so that a new leader does not wait for machines that are still booting.
-    fn add_registry_writes(&mut self, builder: &mut BatchBuilder, include_removals: bool) {
+    fn add_registry_writes(
+        &mut self,
+        builder: &mut BatchBuilder,
+        include_removals: bool,
+        selection: &Selection,
+    ) {
         for id in self.registry.take_pending() {
             let Some(m) = self.machines.get(&id) else {
                 continue;
@@ -267,7 +343,7 @@
         while builder.fits(1, self.cfg.max_value_bytes)
             || (builder.writes.is_empty() && builder.max_ops >= 1)
         {
-            let Some(write) = self.registry.next_write(include_removals) else {
+            let Some(write) = self.registry.next_write(include_removals, selection) else {
                 return;
             };
             let bytes = match &write {
@@ -288,7 +364,11 @@
         now: Micros,
     ) {
         match &result {
-            Ok(revision) => self.command_tokens.write_applied(FencingToken(revision.0)),
+            Ok(revision) => {
+                self.command_tokens.write_applied(FencingToken(revision.0));
+                self.writes.rejected.batch_applied(&batch.writes);
+            }
+            Err(BatchError::Invalid) => self.writes.rejected.batch_rejected(&batch.writes, now),
             Err(_) => self.writes.retry_not_before = now + Micros::from_millis(200),
         }
         for write in batch.writes {
@@ -369,6 +449,7 @@
                 self.registry.write_not_applied(key)
             }
             Err(BatchError::NotApplied) => self.registry.write_not_applied(key),
+            Err(BatchError::Invalid) => self.registry.write_rejected(key),
             Err(_) => {
                 let (counter, token) = (&mut self.sequence_number, self.token);
                 self.registry
@@ -382,7 +463,7 @@
         let must_reload = match error {
             BatchError::Conflict { jobs, .. } => jobs.contains(id),
             BatchError::LeadershipLost => false,
-            BatchError::NotApplied => false,
+            BatchError::NotApplied | BatchError::Invalid => false,
             BatchError::OutcomeUnknown => true,
         };
         if let Some(job) = self.jobs.get_mut(id)
@@ -417,6 +498,15 @@
     }
 }
 
+/// Returns the key of the next write of a job's record.
+fn write_key(id: &JobId, job: &Job) -> WriteKey {
+    if job.is_finished() {
+        WriteKey::JobEnd(id.clone())
+    } else {
+        WriteKey::JobUpdate(id.clone())
+    }
+}
+
 /// Returns a key that no page has had before: it contains the fencing token and a counter.
 fn page_key(counter: &mut u64, token: FencingToken) -> String {
     *counter += 1;
--- a/crates/hopyoke-scheduler/src/persist/registry.rs
+++ b/crates/hopyoke-scheduler/src/persist/registry.rs
@@ -8,6 +8,7 @@
 //! move to a page with a new key.
 
 use super::batch::{ADDRESS_BYTES, RegistryPage, Write};
+use super::rejected_writes::{Selection, WriteKey};
 use hopyoke_types::{MachineId, ModRevision};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +21,22 @@
     additions_pending: bool,
     /// Machines were removed that the stored page may still contain.
     removals_pending: bool,
+    /// The store has rejected the page as invalid, so no machines are added to it.
+    is_rejected: bool,
+}
+
+impl Page {
+    /// Creates a page that is yet to be stored.
+    fn unstored(content: RegistryPage) -> Page {
+        Page {
+            content,
+            mod_revision: ModRevision(0),
+            write_in_flight: false,
+            additions_pending: true,
+            removals_pending: false,
+            is_rejected: false,
+        }
+    }
 }
 
 /// The registry's pages, and the writes that they still need.
@@ -58,6 +75,7 @@
                 write_in_flight: false,
                 additions_pending: false,
                 removals_pending: false,
+                is_rejected: false,
             },
         );
         machines
@@ -108,6 +126,7 @@
             |c: &RegistryPage| (c.machine_type.as_str(), c.zone.as_str(), c.spot) == kind;
         let has_capacity = |p: &&mut Page| {
             is_of_kind(&p.content)
+                && !p.is_rejected
                 && p.content.bytes() + id.as_str().len() + ADDRESS_BYTES < value_bytes
         };
         let found = self.pages.iter_mut().find(|(_, p)| has_capacity(p));
@@ -125,14 +144,7 @@
                     spot: kind.2,
                     machines: BTreeMap::from([(id.clone(), address)]),
                 };
-                let page = Page {
-                    content,
-                    mod_revision: ModRevision(0),
-                    write_in_flight: false,
-                    additions_pending: true,
-                    removals_pending: false,
-                };
-                self.pages.insert(key.clone(), page);
+                self.pages.insert(key.clone(), Page::unstored(content));
                 key
             }
         };
@@ -169,19 +181,28 @@
     }
 
     /// Returns the next write: of a page with additions or, if `include_removals` is set, of one with removals
-    /// or a delete. A page without machines is deleted.
-    pub(crate) fn next_write(&mut self, include_removals: bool) -> Option<Write> {
+    /// or a delete. A page without machines is deleted. Only `selected` writes are returned.
+    pub(crate) fn next_write(
+        &mut self,
+        include_removals: bool,
+        selected: &Selection,
+    ) -> Option<Write> {
+        let is_selected = |key: &str| selected.contains(&WriteKey::RegistryPage(key.to_owned()));
         // A page is deleted only once its machines are stored on other pages, or in the same batch.
         if include_removals
             && !self.pages.values().any(|p| p.additions_pending)
-            && let Some(key) = self.pending_deletes.pop()
+            && let Some(index) = self.pending_deletes.iter().rposition(|k| is_selected(k))
         {
+            let key = self.pending_deletes.remove(index);
             return Some(Write::DeletePage { key });
         }
-        let due = |p: &&mut Page| {
+        let is_due = |p: &Page| {
             !p.write_in_flight && (p.additions_pending || (include_removals && p.removals_pending))
         };
-        let (key, page) = self.pages.iter_mut().find(|(_, p)| due(p))?;
+        let (key, page) = self
+            .pages
+            .iter_mut()
+            .find(|(key, page)| is_due(page) && is_selected(key))?;
         page.write_in_flight = true;
         (page.additions_pending, page.removals_pending) = (false, false);
         let content = (!page.content.machines.is_empty()).then(|| page.content.clone());
@@ -192,6 +213,13 @@
         })
     }
 
+    /// Returns whether a page is to be written or deleted.
+    pub(crate) fn is_write_pending(&self, key: &str) -> bool {
+        let is_pending =
+            |p: &Page| !p.write_in_flight && (p.additions_pending || p.removals_pending);
+        self.pages.get(key).is_some_and(is_pending) || self.pending_deletes.iter().any(|k| k == key)
+    }
+
     /// Handles an applied write of a page. Returns the machines that are now registered.
     pub(crate) fn write_committed(
         &mut self,
@@ -203,6 +231,7 @@
             return Vec::new();
         };
         page.write_in_flight = false;
+        page.is_rejected = false;
         page.mod_revision = if content.is_some() {
             mod_revision
         } else {
@@ -232,6 +261,15 @@
         }
     }
 
+    /// Handles a write that the store has rejected as invalid, by itself or with others: it is repeated, but no machines
+    /// are added to the page until it has been stored.
+    pub(crate) fn write_rejected(&mut self, key: &str) {
+        self.write_not_applied(key);
+        if let Some(page) = self.pages.get_mut(key) {
+            page.is_rejected = true;
+        }
+    }
+
     /// Handles a write that may have been applied, or may still be: its machines move to a new page, and
     /// the old page is deleted only after the new one is stored.
     pub(crate) fn write_outcome_unknown(&mut self, key: &str, new_key: impl FnOnce() -> String) {
@@ -246,14 +284,7 @@
         }
         self.pages.remove(key);
         if !content.machines.is_empty() {
-            let page = Page {
-                content,
-                mod_revision: ModRevision(0),
-                write_in_flight: false,
-                additions_pending: true,
-                removals_pending: false,
-            };
-            self.pages.insert(new, page);
+            self.pages.insert(new, Page::unstored(content));
         }
         // Deletes follow all additions, see `next_write`.
         self.pending_deletes.push(key.to_owned());
--- a/crates/hopyoke-simulator/src/kv_store.rs
+++ b/crates/hopyoke-simulator/src/kv_store.rs
@@ -51,8 +51,8 @@
     pub(crate) lost_renewals: FaultWindow,
     /// Share of the transactions that get no response and are applied after a delay.
     pub(crate) delayed_writes: FaultWindow,
-    /// Keys whose puts the store rejects as invalid, and until when.
-    pub(crate) invalid_keys: BTreeMap<String, Micros>,
+    /// Prefixes of keys whose puts the store rejects as invalid, and until when.
+    pub(crate) invalid_prefixes: BTreeMap<String, Micros>,
 }
 
 /// Why a transaction was not applied.
@@ -241,9 +241,17 @@
             return Err(TransactionError::Invalid);
         }
         let now = self.now;
-        let invalid_keys = &self.kv_store.invalid_keys;
-        let is_invalid = |mutation: &Mutation| matches!(mutation, Mutation::Put(key, ..) if invalid_keys.get(key).is_some_and(|until| now < *until));
-        if mutations.iter().any(is_invalid) {
+        let mut invalid_prefixes = self
+            .kv_store
+            .invalid_prefixes
+            .iter()
+            .filter(|(_, until)| now < **until);
+        let is_put_under = |prefix: &str| {
+            mutations
+                .iter()
+                .any(|m| matches!(m, Mutation::Put(key, ..) if key.starts_with(prefix)))
+        };
+        if invalid_prefixes.any(|(prefix, _)| is_put_under(prefix)) {
             return Err(TransactionError::Invalid);
         }
         self.kv_store.txn(compares, mutations)
--- a/crates/hopyoke-simulator/src/node/persist.rs
+++ b/crates/hopyoke-simulator/src/node/persist.rs
@@ -86,7 +86,8 @@
 fn batch_error(error: &TransactionError) -> BatchError {
     match error {
         TransactionError::CompareFailed(keys) => conflict(keys),
-        TransactionError::LeaseExpired | TransactionError::Invalid => BatchError::NotApplied,
+        TransactionError::LeaseExpired => BatchError::NotApplied,
+        TransactionError::Invalid => BatchError::Invalid,
     }
 }
 
--- a/crates/hopyoke-simulator/src/scenario/store_faults.rs
+++ b/crates/hopyoke-simulator/src/scenario/store_faults.rs
@@ -26,9 +26,9 @@
             }
         }
         "reject_put" => {
-            let key = next_word(words).to_owned();
+            let prefix = next_word(words).to_owned();
             let until = fault_end(sim, words);
-            sim.kv_store.invalid_keys.insert(key, until);
+            sim.kv_store.invalid_prefixes.insert(prefix, until);
         }
         "outage" => sim.begin_outage(seconds(next_word(words))),
         "lost_answers" | "lost_renewals" | "late_writes" | "late_reports" | "held_reports"
--- a/crates/hopyoke/src/leadership/record_writer.rs
+++ b/crates/hopyoke/src/leadership/record_writer.rs
@@ -175,8 +175,8 @@
 /// # Errors
 ///
 /// Returns [`BatchError::LeadershipLost`] if the leader key's revision is not `token`, [`BatchError::Conflict`] if records
-/// have changed, [`BatchError::NotApplied`] if the transaction was certainly not executed, and [`BatchError::OutcomeUnknown`]
-/// otherwise.
+/// have changed, [`BatchError::Invalid`] if the store rejects the transaction itself, [`BatchError::NotApplied`] if it was
+/// certainly not executed for another reason, and [`BatchError::OutcomeUnknown`] otherwise.
 async fn commit(
     node: &Node,
     token: FencingToken,
@@ -210,7 +210,9 @@
 }
 
 fn classify_error(error: &StoreError) -> BatchError {
-    if error.is_refusal() {
+    if matches!(error, StoreError::Invalid(_)) {
+        BatchError::Invalid
+    } else if error.is_refusal() {
         debug!(error = %error, "failed to write batch of records");
         BatchError::NotApplied
     } else {
--- a/crates/hopyoke/src/operations/status.rs
+++ b/crates/hopyoke/src/operations/status.rs
@@ -33,6 +33,7 @@
     write_shards(out, &scheduler, &leader)?;
     let usage = write_machines(out, &scheduler)?;
     write_teams(out, &scheduler, &usage)?;
+    write_rejected_writes(out, &scheduler, now)?;
     write_jobs(out, &scheduler, now)
 }
 
@@ -210,6 +211,20 @@
     Ok(())
 }
 
+/// Writes the writes that the key-value store rejects as invalid, with the time until the next attempt.
+fn write_rejected_writes(out: &mut String, scheduler: &Scheduler, now: Micros) -> fmt::Result {
+    for (write, rejection) in scheduler.rejected_writes() {
+        writeln!(
+            out,
+            "rejected {write} bytes {} times {} retry_in {:.0} s",
+            rejection.bytes,
+            rejection.count,
+            (rejection.retry_at - now).as_secs_f64()
+        )?;
+    }
+    Ok(())
+}
+
 /// Writes the unfinished jobs, with the estimated time to their end and why they wait.
 fn write_jobs(out: &mut String, scheduler: &Scheduler, now: Micros) -> fmt::Result {
     for (id, job) in &scheduler.jobs {
--- a/crates/hopyoke/src/store/client.rs
+++ b/crates/hopyoke/src/store/client.rs
@@ -258,8 +258,8 @@
 ///
 /// # Errors
 ///
-/// Requests fail with [`StoreError::RateLimited`], [`StoreError::DeadlineExceeded`] or [`StoreError::Refused`] if they
-/// were certainly not executed, with [`StoreError::Unknown`] if no response came in time, and with
+/// Requests fail with [`StoreError::RateLimited`], [`StoreError::DeadlineExceeded`], [`StoreError::Refused`] or
+/// [`StoreError::Invalid`] if they were certainly not executed, with [`StoreError::Unknown`] if no response came in time, and with
 /// [`StoreError::Malformed`] if the response cannot be decoded.
 #[derive(Clone, Copy)]
 pub(crate) struct PrioritizedClient<'a> {
@@ -356,7 +356,7 @@
                 let absent: KeyNotFound = decode_body(&r)?;
                 Ok(KeyRead::Absent(ModRevision(absent.revision)))
             }
-            s => Err(StoreError::Refused(s)),
+            s => Err(StoreError::of_status(s)),
         }
     }
 
@@ -420,7 +420,7 @@
         };
         let r = self.send_request(request).await?;
         if r.status != 200 {
-            return Err(StoreError::Refused(r.status));
+            return Err(StoreError::of_status(r.status));
         }
         decode_body(&r)
     }
@@ -445,7 +445,7 @@
             409 => Ok(TransactionOutcome::Failed(
                 decode_body::<CompareFailed>(&r)?.failed,
             )),
-            s => Err(StoreError::Refused(s)),
+            s => Err(StoreError::of_status(s)),
         }
     }
 
@@ -459,7 +459,7 @@
             .await?;
         match r.status {
             200 | 201 => Ok(decode_body::<LeaseGrantResponse>(&r)?.lease),
-            s => Err(StoreError::Refused(s)),
+            s => Err(StoreError::of_status(s)),
         }
     }
 
@@ -495,7 +495,7 @@
         match r.status {
             200..=299 => Ok(()),
             404 => Err(StoreError::Gone),
-            s => Err(StoreError::Refused(s)),
+            s => Err(StoreError::of_status(s)),
         }
     }
 
@@ -507,7 +507,7 @@
             .await?;
         match r.status {
             200..=299 | 404 => Ok(()),
-            s => Err(StoreError::Refused(s)),
+            s => Err(StoreError::of_status(s)),
         }
     }
 
@@ -555,7 +555,7 @@
                 Ok(changes)
             }
             410 => Err(StoreError::Gone),
-            s => Err(StoreError::Refused(s)),
+            s => Err(StoreError::of_status(s)),
         }
     }
 }
--- a/crates/hopyoke/src/store/error.rs
+++ b/crates/hopyoke/src/store/error.rs
@@ -3,9 +3,12 @@
 /// Error of a request to the key-value store.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum StoreError {
-    /// Certainly not executed. Holds the HTTP status, or 0 if the request was not sent.
+    /// Certainly not executed, for a reason that may pass. Holds the HTTP status, or 0 if the request was not sent.
     #[error("refused ({0})")]
     Refused(u16),
+    /// Certainly not executed: the store rejects the request itself and would reject it again. Holds the HTTP status.
+    #[error("rejected as invalid ({0})")]
+    Invalid(u16),
     /// Not sent: requests of the same or a higher priority have used up this node's share of the request rate.
     #[error("this node's share of the request rate is used up")]
     RateLimited,
@@ -24,11 +27,24 @@
 }
 
 impl StoreError {
+    /// Returns the error that a response with an unexpected status stands for. A client error other than a timeout or a
+    /// rate limit is due to the request itself.
+    pub(crate) fn of_status(status: u16) -> StoreError {
+        match status {
+            408 | 425 | 429 => StoreError::Refused(status),
+            400..=499 => StoreError::Invalid(status),
+            _ => StoreError::Refused(status),
+        }
+    }
+
     /// Returns whether the request was certainly not executed and never will be.
     pub(crate) fn is_refusal(&self) -> bool {
         matches!(
             self,
-            StoreError::Refused(_) | StoreError::RateLimited | StoreError::DeadlineExceeded
+            StoreError::Refused(_)
+                | StoreError::Invalid(_)
+                | StoreError::RateLimited
+                | StoreError::DeadlineExceeded
         )
     }
 }
