Long lists of machine types are condensed in the store, so that a record fits in any state

Cause: the description's size was limited in MessagePack (3,072 bytes), and the store counts JSON, where such a character takes six bytes: 18 KB in the extreme. What was accepted had no room left for the job's state.

A digest tells whether a type is meant, also one that the cloud offers later. All other descriptions are stored byte for byte as before. A record that an earlier version stored is condensed by the first write of a leader of this version; an earlier version reads a condensed record as a list of names that no type has beside the short ones. The door is as wide as before: what it accepts fits, so that no version refuses what another accepted.

Weighed and not taken: a key of its own for the description (for all jobs: one more change at acceptance and one more delete at the end, 6 instead of 4 changes for a job of one start; only for long ones: two places to read at a takeover, and a version before can't read the record), a narrower door (refuses jobs that the protocol allows).

--- a/crates/hopyoke-protocol/src/user.rs
+++ b/crates/hopyoke-protocol/src/user.rs
@@ -1,5 +1,6 @@
 //! Messages of the user API: job submissions and job status.
 
+mod machine_types;
 mod submission;
 
 pub use submission::{MAX_TASKS, SubmissionError};
@@ -72,7 +73,8 @@
     /// Size of the image, in gigabytes.
     #[serde(rename = "pull_gb")]
     pub image_gb: f64,
-    /// Instance types that are allowed, at most 64. `None` allows all.
+    /// Instance types that are allowed, at most 64. `None` allows all. In a stored description digests may stand for long
+    /// names, see [`JobSpec::allows_machine_type`].
     #[serde(rename = "rigs", default)]
     pub machine_types: Option<Vec<String>>,
     /// Zone in which all tasks must run, at most 200 bytes. `None` allows all zones.
--- a/crates/hopyoke-protocol/src/user/submission.rs
+++ b/crates/hopyoke-protocol/src/user/submission.rs
@@ -14,7 +14,7 @@
 const MAX_MACHINE_TYPES: usize = 64;
 /// Maximum of each resource amount and duration.
 const MAX_AMOUNT: f64 = 1e12;
-/// Maximum size of an encoded spec. The rest of the job record shares one value of the key-value store with it.
+/// Maximum size of an encoded spec. What its record takes of the key-value store is limited separately.
 const MAX_SPEC_BYTES: usize = 3 * 1024;
 
 /// Why a submission is rejected. The message is returned to the user.
@@ -55,7 +55,10 @@
     )]
     MachineTypes,
     /// The encoded spec is too large to be stored.
-    #[error("rigs: the job's description is too long to be kept")]
+    #[error(
+        "rigs: the job's description must take at most {} bytes",
+        MAX_SPEC_BYTES
+    )]
     SpecTooLong,
     /// A field has a value of the wrong type.
     #[error("{field}: must be a {expected}")]
--- a/crates/hopyoke-scheduler/src/ledger/job.rs
+++ b/crates/hopyoke-scheduler/src/ledger/job.rs
@@ -13,7 +13,7 @@
 /// Stored record of an unfinished job, under `job/ID`. It persists across attempts and leaders.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct JobRecord {
-    /// Spec as submitted.
+    /// Spec as submitted, in its stored form.
     pub spec: Rc<JobSpec>,
     /// Wall-clock time of acceptance, in microseconds since the Unix epoch.
     pub accepted_us: u64,
@@ -41,7 +41,7 @@
     /// Creates the record of a newly accepted job.
     pub fn accepted(spec: JobSpec, accepted_us: u64) -> JobRecord {
         JobRecord {
-            spec: Rc::new(spec),
+            spec: Rc::new(spec.into_stored_form()),
             accepted_us,
             done: TaskRanges::default(),
             start_attempt: Attempt::default(),
@@ -94,7 +94,7 @@
 
 /// An unfinished job in the ledger.
 pub struct Job {
-    /// Spec as submitted.
+    /// Spec as submitted, in its stored form.
     pub spec: Rc<JobSpec>,
     /// Resources of one task.
     pub task_resources: Resources,
@@ -149,9 +149,15 @@
     pub fn new(record: JobRecord, mod_revision: ModRevision, inherited: bool, now: Micros) -> Job {
         let inherited = inherited && record.may_have_started();
         let done = record.done.normalized(record.spec.tasks);
+        // Earlier versions stored descriptions as submitted.
+        let spec = if record.spec.is_in_stored_form() {
+            record.spec
+        } else {
+            Rc::new(Rc::unwrap_or_clone(record.spec).into_stored_form())
+        };
         Job {
-            task_resources: Resources::of_task(&record.spec),
-            image: ImageKey::of(&record.spec.image),
+            task_resources: Resources::of_task(&spec),
+            image: ImageKey::of(&spec.image),
             accepted_us: record.accepted_us,
             mod_revision,
             inherited,
@@ -173,7 +179,7 @@
             first_seen_at: now,
             wait_reason: Some(WaitReason::FirstPlacement),
             last_wait_reason: None,
-            spec: record.spec,
+            spec,
         }
     }
 
--- a/crates/hopyoke-scheduler/src/placement/request.rs
+++ b/crates/hopyoke-scheduler/src/placement/request.rs
@@ -140,10 +140,7 @@
     fn type_eligibility(&self, spec: &JobSpec) -> impl Iterator<Item = bool> {
         let task = Resources::of_task(spec);
         self.types.iter().map(move |t| {
-            spec.machine_types
-                .as_ref()
-                .is_none_or(|names| names.contains(&t.name))
-                && task.fits_in(&Resources::of_machine_type(t))
+            spec.allows_machine_type(&t.name) && task.fits_in(&Resources::of_machine_type(t))
         })
     }
 
--- a/crates/hopyoke-scheduler/src/resources.rs
+++ b/crates/hopyoke-scheduler/src/resources.rs
@@ -147,7 +147,7 @@
     let task = Resources::of_task(spec);
     let usable: Vec<&MachineType> = types
         .iter()
-        .filter(|t| is_allowed_type(spec, t))
+        .filter(|t| spec.allows_machine_type(&t.name))
         .filter(|t| {
             task.fits_in(&Resources::of_machine_type(t)) && is_in_allowed_zone(spec, t, zones)
         })
@@ -173,11 +173,6 @@
     None
 }
 
-fn is_allowed_type(spec: &JobSpec, machine_type: &MachineType) -> bool {
-    let names = spec.machine_types.as_ref();
-    names.is_none_or(|names| names.contains(&machine_type.name))
-}
-
 /// Returns true if the type is offered in the zone that the job requests, or the job requests none.
 fn is_in_allowed_zone(spec: &JobSpec, machine_type: &MachineType, zones: &[String]) -> bool {
     match &spec.zone {
--- a/crates/hopyoke-scheduler/tests/frozen_forms.rs
+++ b/crates/hopyoke-scheduler/tests/frozen_forms.rs
@@ -80,6 +80,16 @@
             ..JobRecord::accepted(gang(), ACCEPTED_US)
         },
     );
+    // Digests stand for long names in a long description.
+    let long_names = (0..8).map(|n| "\u{1}".repeat(190 + n));
+    let odd = JobSpec {
+        machine_types: Some(long_names.chain(["g2".to_owned()]).collect()),
+        ..array(1)
+    };
+    assert_stored(
+        "job-record-condensed",
+        &JobRecord::accepted(odd, ACCEPTED_US),
+    );
     let step = JobSpec {
         id: JobId::new("req-90410000000070000300"),
         ..array(4)
--- a/crates/hopyoke-scheduler/tests/pushed_commands.rs
+++ b/crates/hopyoke-scheduler/tests/pushed_commands.rs
@@ -1,33 +1,15 @@
 //! Tests of commands that are pushed to an agent outside its heartbeats.
 
+mod common;
+
+use common::config;
 use hopyoke_protocol::cloud::MachineType;
 use hopyoke_protocol::user::JobSpec;
 use hopyoke_protocol::worker::{Command, ExitReason, Heartbeat, TaskState, TaskStatus};
-use hopyoke_scheduler::{
-    Action, Batch, HeartbeatReply, JobRecord, RegistryPage, Scheduler, SchedulerConfig, Team, Write,
-};
+use hopyoke_scheduler::{Action, Batch, HeartbeatReply, JobRecord, RegistryPage, Scheduler, Write};
 use hopyoke_types::{Attempt, FencingToken, JobId, MachineId, Micros, ModRevision};
 use std::collections::BTreeMap;
 
-fn config() -> SchedulerConfig {
-    SchedulerConfig {
-        zones: vec!["a".into()],
-        teams: vec![Team {
-            name: "crew".into(),
-            ..Team::default()
-        }],
-        heartbeat_interval: Micros::from_secs(2),
-        lease: Micros::from_secs(14),
-        gang_start_timeout: Micros::from_secs(50),
-        gang_peer_timeout: Micros::from_secs(6),
-        max_list_lag: Micros::from_secs(4),
-        max_value_bytes: 8192,
-        max_txn_ops: 16,
-        max_writes_per_s: 25.0,
-        response_margin: Micros::from_millis(500),
-    }
-}
-
 fn machine_type() -> MachineType {
     MachineType {
         name: "std".into(),
--- a/crates/hopyoke-scheduler/tests/rejected_writes.rs
+++ b/crates/hopyoke-scheduler/tests/rejected_writes.rs
@@ -1,32 +1,16 @@
 //! Tests of writes that the key-value store rejects as invalid: each is found and set aside, and delays no other.
 
+mod common;
+
+use common::config;
 use hopyoke_protocol::user::JobSpec;
-use hopyoke_scheduler::{BatchError, JobRecord, Scheduler, SchedulerConfig, Team, Write, WriteKey};
+use hopyoke_scheduler::{BatchError, JobRecord, Scheduler, Write, WriteKey};
 use hopyoke_types::{Attempt, FencingToken, JobId, Micros, ModRevision};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 
 const START: Micros = Micros::from_secs(100);
 
-fn config() -> SchedulerConfig {
-    SchedulerConfig {
-        zones: vec!["a".into()],
-        teams: vec![Team {
-            name: "crew".into(),
-            ..Team::default()
-        }],
-        heartbeat_interval: Micros::from_secs(2),
-        lease: Micros::from_secs(14),
-        gang_start_timeout: Micros::from_secs(50),
-        gang_peer_timeout: Micros::from_secs(6),
-        max_list_lag: Micros::from_secs(4),
-        max_value_bytes: 8192,
-        max_txn_ops: 16,
-        max_writes_per_s: 25.0,
-        response_margin: Micros::from_millis(500),
-    }
-}
-
 fn job(number: usize) -> JobId {
     JobId::new(&format!("req-{number:03}"))
 }
--- a/crates/hopyoke-simulator/src/scenario/workload.rs
+++ b/crates/hopyoke-simulator/src/scenario/workload.rs
@@ -107,11 +107,11 @@
 /// of JSON. Such a character takes one byte in MessagePack and six in JSON.
 fn with_odd_machine_types(mut spec: JobSpec, record_bytes: usize) -> JobSpec {
     const MAX_NAME_CHARS: usize = 150;
-    let len = |spec: &JobSpec| json_len(&JobRecord::accepted(spec.clone(), START_TIME_OF_DAY.0));
+    let rest = json_len(&JobRecord::accepted(spec.clone(), START_TIME_OF_DAY.0)) - json_len(&spec);
     let mut names = vec![MACHINE_TYPE.to_owned(), String::new()];
     loop {
         spec.machine_types = Some(names.clone());
-        let missing = record_bytes.saturating_sub(len(&spec));
+        let missing = record_bytes.saturating_sub(rest + json_len(&spec));
         let last = names.last_mut().expect("a name");
         match missing {
             0 => return spec,
