Completed tasks take no more of a record than the description leaves them

Fault, by reading: placement bounds how scattered the completed tasks of a job can be, on the assumption that the rest of its record takes at most 3,584 bytes. Counted in JSON a class and an image of control characters and 64 digests take 4.6 KB, and a set of completed tasks up to 4.6 KB: the record outgrows the largest value of 8 KB, and the job's progress is never recorded.

Change: the size of a job's record without its completed tasks is counted once, when the leader learns of the job. Placement uses what is left. Whatever completes, a write holds those tasks that fit: those recorded before, then the lowest numbers. Agents keep the results of the others until they fit or the job has ended. So a record fits by construction, not by the bound on placement, which remains for the sake of few unacknowledged results.

--- a/crates/hopyoke-scheduler/src/config.rs
+++ b/crates/hopyoke-scheduler/src/config.rs
@@ -5,6 +5,9 @@
 use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
 
+/// Size up to which a job's record without its completed tasks counts as ordinary, in bytes.
+const ORDINARY_RECORD_BYTES: usize = 3584;
+
 /// Configuration of the scheduler.
 #[derive(Debug, Clone)]
 pub struct SchedulerConfig {
@@ -75,22 +78,24 @@
         self.lease.with_drift() + self.response_margin
     }
 
-    /// Returns the maximum length of a job record's set of completed tasks, in characters.
-    fn max_done_chars(&self) -> usize {
-        self.max_value_bytes.saturating_sub(3584)
+    /// Returns the maximum length of a record's set of completed tasks that placement aims at, in characters. `available`
+    /// is what the job's record leaves for it.
+    fn max_done_chars(&self, available: usize) -> usize {
+        self.max_value_bytes
+            .saturating_sub(ORDINARY_RECORD_BYTES)
+            .min(available)
     }
 
     /// Returns how many of a job's unfinished tasks, lowest numbers first, are always considered for placement.
-    /// As a list of ranges, the completed tasks among them always fit the record.
-    pub fn placement_window(&self) -> u32 {
-        (self.max_done_chars() / RANGE_CHARS).max(16) as u32
+    /// As a list of ranges, the completed tasks among them fit the record.
+    pub fn placement_window(&self, available: usize) -> u32 {
+        (self.max_done_chars(available) / RANGE_CHARS).max(16) as u32
     }
 
     /// Returns how far beyond the first unfinished task other tasks are considered for placement. Within this
     /// span, the completed tasks fit the record as a bitmap. Tasks that complete beyond the span were in the
-    /// window, so their ranges are few. Hence a record never exceeds the maximum value size (scenarios
-    /// fragmented_record and huge_array).
-    pub fn placement_span(&self) -> u32 {
-        (self.max_done_chars().saturating_sub(64) * 6) as u32
+    /// window, so their ranges are few (scenarios fragmented_record and huge_array).
+    pub fn placement_span(&self, available: usize) -> u32 {
+        (self.max_done_chars(available).saturating_sub(64) * 6) as u32
     }
 }
--- a/crates/hopyoke-scheduler/src/ledger/job.rs
+++ b/crates/hopyoke-scheduler/src/ledger/job.rs
@@ -3,10 +3,12 @@
 use crate::ledger::{ImageKey, WaitReason};
 use crate::resources::Resources;
 use crate::task_ranges::TaskRanges;
+use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::{JobKind, JobSpec, JobState};
 use hopyoke_types::Micros;
 use hopyoke_types::{Attempt, MachineId, ModRevision};
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -58,6 +60,24 @@
         }
     }
 
+    /// Returns the record with its spec in the stored form. Earlier versions stored specs as submitted.
+    fn in_stored_form(mut self) -> JobRecord {
+        if !self.spec.is_in_stored_form() {
+            self.spec = Rc::new(Rc::unwrap_or_clone(self.spec).into_stored_form());
+        }
+        self
+    }
+
+    /// Returns an upper bound of the size of the stored form in JSON, in any state and without the completed tasks.
+    pub fn max_len_without_done(&self) -> usize {
+        json_len(&JobRecord {
+            spec: self.spec.clone(),
+            done: TaskRanges::default(),
+            start_attempt: Attempt(u64::MAX),
+            ..*self
+        })
+    }
+
     /// Returns true if some leader may have sent a start command for one of its tasks.
     pub fn may_have_started(&self) -> bool {
         self.start_attempt.0 != 0 || !self.has_start_marker
@@ -114,6 +134,10 @@
     pub cancelled_by_scheduler: bool,
     /// Completed tasks.
     pub done: TaskRanges,
+    /// Size of the record without the completed tasks, in bytes of JSON, in any state.
+    pub len_without_done: usize,
+    /// Largest size that the record's set of completed tasks may have, in characters.
+    pub max_done_chars: usize,
     /// Completed tasks according to the stored record. Only these may be acknowledged to agents.
     pub recorded_done: TaskRanges,
     /// For a gang, the attempt of its current placement; for other jobs, that of their first start.
@@ -145,17 +169,23 @@
 }
 
 impl Job {
-    /// Creates a job from its record. `inherited` is true if an earlier leader may have read the record.
-    pub fn new(record: JobRecord, mod_revision: ModRevision, inherited: bool, now: Micros) -> Job {
+    /// Creates a job from its record, which may take `max_value_bytes` in the store. `inherited` is true if an earlier
+    /// leader may have read the record.
+    pub fn new(
+        record: JobRecord,
+        mod_revision: ModRevision,
+        inherited: bool,
+        max_value_bytes: usize,
+        now: Micros,
+    ) -> Job {
         let inherited = inherited && record.may_have_started();
-        let done = record.done.normalized(record.spec.tasks);
-        // Earlier versions stored descriptions as submitted.
-        let spec = if record.spec.is_in_stored_form() {
-            record.spec
-        } else {
-            Rc::new(Rc::unwrap_or_clone(record.spec).into_stored_form())
-        };
+        let record = record.in_stored_form();
+        let len_without_done = record.max_len_without_done();
+        let spec = record.spec;
+        let done = record.done.normalized(spec.tasks);
         Job {
+            len_without_done,
+            max_done_chars: max_value_bytes.saturating_sub(len_without_done),
             task_resources: Resources::of_task(&spec),
             image: ImageKey::of(&spec.image),
             accepted_us: record.accepted_us,
@@ -188,13 +218,25 @@
         JobRecord {
             spec: self.spec.clone(),
             accepted_us: self.accepted_us,
-            done: self.done.clone(),
+            done: self.storable_done().into_owned(),
             start_attempt: self.start_attempt,
             has_start_marker: self.has_start_marker,
             is_workflow_step: self.is_workflow_step,
         }
     }
 
+    /// Returns the completed tasks that the record is to hold: all that fit, those that it holds already and then the
+    /// lowest numbers. Agents keep the results of the others until they fit, or until the end of the job is recorded.
+    pub fn storable_done(&self) -> Cow<'_, TaskRanges> {
+        if self.done.max_encoded_len() <= self.max_done_chars {
+            return Cow::Borrowed(&self.done);
+        }
+        let storable = self
+            .recorded_done
+            .with_lowest_of(&self.done, self.max_done_chars);
+        Cow::Owned(storable)
+    }
+
     /// Returns the number of tasks that are neither completed nor have an attempt.
     pub fn unplaced_tasks(&self) -> u32 {
         let tasks = self.spec.tasks;
@@ -230,7 +272,7 @@
     /// Returns true if the stored record is out of date and no write of it is in flight.
     pub fn needs_write(&self) -> bool {
         !self.write_in_flight
-            && (self.done != self.recorded_done
+            && (*self.storable_done() != self.recorded_done
                 || self.start_attempt != self.recorded_start_attempt
                 || self.cancelled_by_scheduler)
     }
--- a/crates/hopyoke-scheduler/src/placement/tasks.rs
+++ b/crates/hopyoke-scheduler/src/placement/tasks.rs
@@ -107,11 +107,11 @@
     /// Returns the tasks without an attempt that may be started, in ascending order of index.
     fn startable_tasks(&self, job: &Job, early_start: Option<EarlyStart>) -> StartableTasks {
         let mut tasks = StartableTasks::default();
-        let window = self.cfg.placement_window() as usize;
+        let window = self.cfg.placement_window(job.max_done_chars) as usize;
         let span_end = job
             .done
             .first_missing()
-            .saturating_add(self.cfg.placement_span());
+            .saturating_add(self.cfg.placement_span(job.max_done_chars));
         let max_lookahead = (LOOKAHEAD_FACTOR * window).saturating_sub(job.attempts.len());
         for (n, index) in job.done.missing(job.spec.tasks).enumerate() {
             if n >= window && (index >= span_end || tasks.lookahead.len() >= max_lookahead) {
--- a/crates/hopyoke-scheduler/src/reconcile/job_records.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/job_records.rs
@@ -19,7 +19,13 @@
                 // The token is the revision of the grant, before which the earlier leader's lease had
                 // expired. It can't have started a job that was written later.
                 let inherited = mod_revision.0 <= self.token.0;
-                let job = Job::new(record, mod_revision, inherited, now);
+                let job = Job::new(
+                    record,
+                    mod_revision,
+                    inherited,
+                    self.cfg.max_value_bytes,
+                    now,
+                );
                 let spec = job.spec.clone();
                 self.jobs.insert(id.clone(), job);
                 self.adopt_allocations(&id, &spec);
--- a/crates/hopyoke-scheduler/src/task_ranges.rs
+++ b/crates/hopyoke-scheduler/src/task_ranges.rs
@@ -51,12 +51,40 @@
         self.0.first().filter(|p| p.0 == 0).map_or(0, |p| p.1 + 1)
     }
 
-    /// Returns an upper bound on the length of the stored form, in characters.
+    /// Returns an upper bound on the length of the stored form, in characters without its outer brackets or quotes.
     #[must_use]
     pub fn max_encoded_len(&self) -> usize {
         (self.0.len() * RANGE_CHARS).min(self.text_len())
     }
 
+    /// Returns this set with the lowest numbers of `other`, as many as the stored form certainly takes at most `max_len`
+    /// characters for.
+    #[must_use]
+    pub fn with_lowest_of(&self, other: &TaskRanges, max_len: usize) -> TaskRanges {
+        let with_below = |end: u32| self.union(&other.below(end));
+        let (mut fitting_end, mut end) = (0, other.0.last().map_or(0, |p| p.1 + 1));
+        // Bisection. Where filling a gap shortens the stored form, it may stop short of the largest number.
+        while fitting_end < end {
+            let middle = end - (end - fitting_end) / 2;
+            if with_below(middle).max_encoded_len() <= max_len {
+                fitting_end = middle;
+            } else {
+                end = middle - 1;
+            }
+        }
+        with_below(fitting_end)
+    }
+
+    /// Returns the numbers of the set below `n`.
+    fn below(&self, n: u32) -> TaskRanges {
+        let cut = |&(a, b): &(u32, u32)| (a < n).then(|| (a, b.min(n - 1)));
+        TaskRanges(self.0.iter().map_while(cut).collect())
+    }
+
+    fn union(&self, other: &TaskRanges) -> TaskRanges {
+        TaskRanges([self.0.as_slice(), &other.0].concat()).normalized(u32::MAX)
+    }
+
     fn text_len(&self) -> usize {
         let last = self.0.last().map_or(0, |p| p.1 + 1);
         let bits = last.saturating_sub(self.first_missing()) as usize;
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -4,9 +4,10 @@
 
 use common::config;
 use hopyoke_protocol::json_len;
-use hopyoke_protocol::user::JobSpec;
-use hopyoke_scheduler::{JobRecord, Scheduler, Write};
+use hopyoke_protocol::user::{JobKind, JobSpec};
+use hopyoke_scheduler::{Job, JobRecord, Scheduler, TaskRanges, Write};
 use hopyoke_types::{Attempt, FencingToken, JobId, Micros, ModRevision};
+use proptest::prelude::*;
 use std::rc::Rc;
 
 const START: Micros = Micros::from_secs(100);
@@ -59,3 +60,164 @@
     assert!(written.spec.allows_machine_type("std"));
     assert!(written.spec.allows_machine_type(&"\u{1}".repeat(180)));
 }
+
+/// Returns a job of as many bytes in JSON as any: its names consist of control characters.
+fn largest_spec(tasks: u32) -> JobSpec {
+    JobSpec {
+        class: "\u{1}".repeat(200),
+        image: "\u{2}".repeat(200),
+        machine_types: Some(vec!["\u{3}".repeat(25); 64]),
+        tasks,
+        ..spec()
+    }
+}
+
+fn job_of(spec: JobSpec) -> Job {
+    assert_eq!(spec.check(), Ok(()));
+    let record = JobRecord::accepted(spec, ACCEPTED_US);
+    Job::new(
+        record,
+        ModRevision(1),
+        false,
+        config().max_value_bytes,
+        START,
+    )
+}
+
+/// Returns the size of the record that is written now.
+fn record_len(job: &mut Job) -> usize {
+    job.start_attempt = ATTEMPT;
+    json_len(&job.record())
+}
+
+fn set_of(numbers: impl IntoIterator<Item = u32>) -> TaskRanges {
+    let mut set = TaskRanges::default();
+    for x in numbers {
+        set.insert(x);
+    }
+    set
+}
+
+/// Guards against a record that outgrows the store's largest value as tasks complete out of order, beside a long
+/// description: here all odd ones among those that placement considers at once.
+#[test]
+fn scattered_tasks_beside_a_long_description_fit() {
+    let mut job = job_of(largest_spec(100_000));
+    job.done = set_of((0..27_000).filter(|x| x % 2 == 1));
+    assert!(record_len(&mut job) <= config().max_value_bytes);
+}
+
+/// Completed tasks that did not fit are recorded once lower ones are, and none is ever dropped.
+#[test]
+fn tasks_that_do_not_fit_are_recorded_later() {
+    const TASKS: u32 = 40_000;
+    let mut job = job_of(largest_spec(TASKS));
+    job.done = set_of((0..TASKS).filter(|x| x % 2 == 1));
+    assert!(job.record().done.count() < job.done.count());
+    let mut low_tasks = (0..TASKS).filter(|x| x % 2 == 0);
+    while !job.is_done() {
+        assert!(record_len(&mut job) <= config().max_value_bytes);
+        let recorded = job.record().done;
+        assert!((0..TASKS).all(|x| !job.recorded_done.contains(x) || recorded.contains(x)));
+        job.recorded_done = recorded;
+        job.recorded_start_attempt = job.start_attempt;
+        assert!(!job.needs_write());
+        for task in low_tasks.by_ref().take(2_000) {
+            job.done.insert(task);
+        }
+    }
+}
+
+/// Names of at most 200 bytes, ordinary ones and such that take more in JSON.
+fn long_name() -> impl Strategy<Value = String> {
+    prop_oneof![
+        "[a-z0-9.-]{1,200}",
+        "[\u{0}-\u{1f}]{1,200}",
+        "[\"\\\\]{1,200}",
+        "[\u{7f}-\u{7ff}]{1,100}",
+        "[船🛶]{1,50}",
+    ]
+}
+
+fn short_name() -> impl Strategy<Value = String> {
+    prop_oneof!["[a-z0-9.-]{1,40}", "[\u{0}-\u{1f}]{1,40}", "#[a-z]{0,20}"]
+}
+
+fn amount() -> impl Strategy<Value = f64> {
+    prop_oneof![
+        Just(0.0),
+        0.0..1e12,
+        Just(1e12),
+        Just(1e-300),
+        Just(0.1 + 0.2)
+    ]
+}
+
+/// Any description that passes the checks of submissions.
+fn accepted_spec() -> impl Strategy<Value = JobSpec> {
+    let names = (
+        long_name(),
+        long_name(),
+        long_name(),
+        prop::option::of(long_name()),
+    );
+    let types = prop::option::of(prop_oneof![
+        prop::collection::vec(long_name(), 0..20),
+        prop::collection::vec(short_name(), 0..=64),
+    ]);
+    let amounts = prop::collection::vec(amount(), 8);
+    let kind = prop_oneof![
+        Just(JobKind::Array),
+        Just(JobKind::Gang),
+        Just(JobKind::Service)
+    ];
+    (names, types, amounts, kind, 1u32..=100_000)
+        .prop_map(|(names, machine_types, amounts, kind, tasks)| JobSpec {
+            class: names.0,
+            team: names.1,
+            image: names.2,
+            zone: names.3,
+            machine_types,
+            kind,
+            tasks,
+            cpus: amounts[0],
+            gpus: amounts[1],
+            memory_gb: amounts[2],
+            image_gb: amounts[3],
+            estimate_s: amounts[4],
+            checkpoint_interval_s: amounts[5],
+            checkpoint_save_s: amounts[6],
+            deadline_s: Some(amounts[7]),
+            id: JobId::new("req-12345678901234567890"),
+            ..spec()
+        })
+        .prop_filter("the checks of submissions", |spec| spec.check().is_ok())
+}
+
+/// Sets of completed tasks: single ones anywhere, and every k-th task from some task on.
+fn completed(tasks: u32) -> impl Strategy<Value = TaskRanges> {
+    let steps = (0..tasks, 1usize..40, 0..tasks);
+    let singles = prop::collection::btree_set(0..tasks, 0..400);
+    (singles, steps).prop_map(|(singles, (first, step, end))| {
+        set_of(singles.into_iter().chain((first..end).step_by(step)))
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn every_record_fits_in_every_state(
+        (spec, completions) in accepted_spec().prop_flat_map(|spec| {
+            let tasks = spec.tasks;
+            (Just(spec), prop::collection::vec(completed(tasks), 1..4))
+        })
+    ) {
+        let mut job = job_of(spec);
+        for done in completions {
+            job.done.merge(&done);
+            prop_assert!(record_len(&mut job) <= config().max_value_bytes);
+            job.recorded_done = job.record().done;
+        }
+    }
+}
