Batches of records are counted in JSON, so that each fits a transaction

Fault, by reading and by the review: a record in a batch was taken for 1,500 bytes beside its completed tasks. At 60 changes a second a batch holds 16 records; with long descriptions these take 75 KB of JSON, and a transaction 64 KiB at most. The store rejects it for good.

Evidence: on the code before, batch_of_long_descriptions_fits_a_transaction fails.

Change: each write counts with its size in JSON and a frame for keys and revisions. The first write of a batch always has room; for that the largest value is at most that of a batch (40 KiB), also if the store would take more. So no record can stop those behind it by its size, as one did that was taken for larger than a batch. The size of an end's write is its own, no longer that of the record which it deletes.

Measured: the tests pass, among them 200 random sets of up to 39 accepted descriptions with completed tasks.

--- a/crates/hopyoke-scheduler/src/config.rs
+++ b/crates/hopyoke-scheduler/src/config.rs
@@ -5,6 +5,8 @@
 use hopyoke_settings::Settings;
 use hopyoke_types::Micros;
 
+/// Largest size of a batch of several writes, in bytes of JSON, well below the store's limit of 64 KiB on transactions.
+pub(crate) const MAX_BATCH_BYTES: usize = 40 * 1024;
 /// Size up to which a job's record without its completed tasks counts as ordinary, in bytes.
 const ORDINARY_RECORD_BYTES: usize = 3584;
 
@@ -25,7 +27,8 @@
     pub gang_peer_timeout: Micros,
     /// Maximum staleness of the cloud's instance list.
     pub max_list_lag: Micros,
-    /// Maximum size of a value in the key-value store, in bytes.
+    /// Maximum size of a value in the key-value store, in bytes of JSON. At most that of a batch, so that a transaction
+    /// has room for any value.
     pub max_value_bytes: usize,
     /// Maximum number of operations in a transaction of the key-value store.
     pub max_txn_ops: usize,
@@ -57,7 +60,8 @@
             gang_start_timeout: Micros::from_secs_f64(platform.agents.gang_wait_s),
             gang_peer_timeout: Micros::from_secs_f64(platform.agents.gang_loss_detection_s),
             max_list_lag: Micros::from_secs_f64(platform.cloud.list_lag_s),
-            max_value_bytes: (platform.store.max_value_kib * 1024.0) as usize,
+            max_value_bytes: ((platform.store.max_value_kib * 1024.0) as usize)
+                .min(MAX_BATCH_BYTES),
             max_txn_ops: platform.store.max_txn_mutations as usize,
             max_writes_per_s: platform.store.max_writes_per_s,
             response_margin: Micros::from_millis(500),
--- a/crates/hopyoke-scheduler/src/persist/records.rs
+++ b/crates/hopyoke-scheduler/src/persist/records.rs
@@ -3,6 +3,7 @@
 
 use super::batch::{Batch, BatchError, RegistryPage, Write};
 use super::rejected_writes::{RejectedWrites, Rejection, Selection, WriteKey};
+use crate::config::MAX_BATCH_BYTES;
 use crate::ledger::{Job, JobRecord};
 use crate::{Action, MachinePhase, Scheduler, SchedulerConfig};
 use hopyoke_types::Micros;
@@ -33,8 +34,8 @@
 /// Share of the leader's write rate that deferrable writes get while admission is saturated.
 const DEFERRABLE_SHARE: f64 = 0.3;
 
-/// Largest size of a batch, well below the limit of 64 KiB on request bodies.
-const MAX_BATCH_BYTES: usize = 40 * 1024;
+/// Most that a write adds to a transaction besides its value, in bytes of JSON: keys, revisions and field names.
+const WRITE_FRAME_BYTES: usize = 256;
 
 impl Writes {
     pub(crate) fn new(cfg: &SchedulerConfig, now: Micros) -> Writes {
@@ -91,13 +92,15 @@
 }
 
 impl BatchBuilder {
-    fn fits(&self, ops: usize, bytes: usize) -> bool {
-        self.ops + ops <= self.max_ops && self.bytes + bytes <= MAX_BATCH_BYTES
+    /// Returns whether a write fits with a value of this size, in bytes of JSON. The first one always has room.
+    fn fits(&self, ops: usize, value_len: usize) -> bool {
+        let bytes = self.bytes + WRITE_FRAME_BYTES + value_len;
+        self.ops + ops <= self.max_ops && (self.writes.is_empty() || bytes <= MAX_BATCH_BYTES)
     }
 
-    fn push(&mut self, write: Write, ops: usize, bytes: usize) {
+    fn push(&mut self, write: Write, ops: usize, value_len: usize) {
         self.ops += ops;
-        self.bytes += bytes;
+        self.bytes += WRITE_FRAME_BYTES + value_len;
         self.writes.push(write);
     }
 }
@@ -292,28 +295,31 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let is_finished = job.is_finished();
-            let cost = if is_finished { 2 } else { 1 };
-            let size = 1500 + job.done.max_encoded_len();
-            if !builder.fits(cost, size) {
-                break;
-            }
-            job.write_in_flight = true;
-            self.writes.dirty.insert(id.clone(), None);
-            let write = if is_finished {
+            let write = if job.is_finished() {
                 Write::End {
-                    job: id,
+                    job: id.clone(),
                     mod_revision: job.mod_revision,
                     end: job.end_record(),
                 }
             } else {
                 Write::Update {
-                    job: id,
+                    job: id.clone(),
                     mod_revision: job.mod_revision,
                     record: job.record(),
                 }
             };
-            builder.push(write, cost, size);
+            let (cost, value_len) = match &write {
+                Write::Update { record, .. } => {
+                    (1, job.len_without_done + record.done.max_encoded_len())
+                }
+                other => (2, other.value_len()),
+            };
+            if !builder.fits(cost, value_len) {
+                break;
+            }
+            job.write_in_flight = true;
+            self.writes.dirty.insert(id, None);
+            builder.push(write, cost, value_len);
         }
     }
 
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -4,14 +4,17 @@
 
 use common::config;
 use hopyoke_protocol::json_len;
+use hopyoke_protocol::state::{Compare, Mutation, Transaction};
 use hopyoke_protocol::user::{JobKind, JobSpec};
-use hopyoke_scheduler::{Job, JobRecord, Scheduler, TaskRanges, Write};
+use hopyoke_scheduler::{Batch, Job, JobRecord, Scheduler, SchedulerConfig, TaskRanges, Write};
 use hopyoke_types::{Attempt, FencingToken, JobId, Micros, ModRevision};
 use proptest::prelude::*;
 use std::rc::Rc;
 
 const START: Micros = Micros::from_secs(100);
 const ACCEPTED_US: u64 = 1_765_000_000_000_000;
+/// Largest transaction that the store accepts, in bytes of JSON.
+const MAX_TRANSACTION_BYTES: usize = 64 * 1024;
 /// An attempt of as many digits as any.
 const ATTEMPT: Attempt = Attempt(u64::MAX);
 
@@ -128,6 +131,76 @@
     }
 }
 
+/// Returns the size of a batch of job records as the store counts it.
+fn transaction_len(batch: &Batch) -> usize {
+    let mut transaction = Transaction {
+        compares: vec![compare("leader".to_owned(), ModRevision(u64::MAX))],
+        mutations: Vec::new(),
+    };
+    for write in &batch.writes {
+        let Write::Update {
+            job,
+            mod_revision,
+            record,
+        } = write
+        else {
+            panic!("unexpected write {write:?}")
+        };
+        transaction
+            .compares
+            .push(compare(format!("job/{job}"), *mod_revision));
+        transaction.mutations.push(Mutation::Put {
+            key: format!("job/{job}"),
+            value: record,
+            lease: None,
+        });
+    }
+    json_len(&transaction)
+}
+
+fn compare(key: String, mod_revision: ModRevision) -> Compare {
+    Compare { key, mod_revision }
+}
+
+/// Returns the batches with which a leader records the first starts of these jobs and their completed tasks.
+fn batches(specs: Vec<JobSpec>, done: &TaskRanges) -> Vec<Batch> {
+    let record = |n: usize| {
+        let id = JobId::new(&format!("req-{n:020}"));
+        let spec = JobSpec {
+            id: id.clone(),
+            ..specs[n].clone()
+        };
+        (id, JobRecord::accepted(spec, ACCEPTED_US))
+    };
+    // A rate at which a batch may hold as many writes as a transaction.
+    let config = SchedulerConfig {
+        max_writes_per_s: 60.0,
+        ..config()
+    };
+    let mut scheduler = Scheduler::new(config, FencingToken(5), Vec::new(), Vec::new(), START);
+    for (id, record) in (0..specs.len()).map(record) {
+        scheduler.job_record_changed(id.clone(), record.clone(), ModRevision(7), START);
+        let job = scheduler.jobs.get_mut(&id).expect("the job");
+        job.start_attempt = ATTEMPT;
+        job.done = done.clone().normalized(job.spec.tasks - 1);
+        scheduler.job_record_changed(id, record, ModRevision(u64::MAX - 1), START);
+    }
+    // The budget for writes is full again every two seconds. No batch is answered, so none is repeated.
+    let times = (1..=specs.len() as u64).map(|n| START + Micros::from_secs(2 * n));
+    times.filter_map(|now| scheduler.next_batch(now)).collect()
+}
+
+/// Guards against a transaction over the store's limit: several long descriptions in one batch.
+#[test]
+fn batch_of_long_descriptions_fits_a_transaction() {
+    let batches = batches(vec![largest_spec(4); 16], &TaskRanges::default());
+    let writes: usize = batches.iter().map(|b| b.writes.len()).sum();
+    assert_eq!(writes, 16);
+    for batch in &batches {
+        assert!(transaction_len(batch) <= MAX_TRANSACTION_BYTES);
+    }
+}
+
 /// Names of at most 200 bytes, ordinary ones and such that take more in JSON.
 fn long_name() -> impl Strategy<Value = String> {
     prop_oneof![
@@ -220,4 +293,14 @@
             job.recorded_done = job.record().done;
         }
     }
+
+    #[test]
+    fn every_batch_fits_a_transaction(
+        specs in prop::collection::vec(accepted_spec(), 1..40),
+        done in completed(100_000),
+    ) {
+        for batch in batches(specs, &done) {
+            prop_assert!(transaction_len(&batch) <= MAX_TRANSACTION_BYTES);
+        }
+    }
 }
