Pages of the machine registry are counted in JSON

Fault, by reading: the size of a registry page was guessed from the length of machines' names, types and zones, which agents report, in bytes. In JSON a control character takes six. A page of such names outgrows the store's largest value and is rejected for good, and none of its machines gets a task.

Evidence: on the code before, registry_pages_of_odd_machine_names_fit fails.

Change: a page keeps its size in JSON, changed with each machine that is added or removed, instead of being summed up over all its machines for every machine that is added.

--- a/crates/hopyoke-scheduler/src/persist/batch.rs
+++ b/crates/hopyoke-scheduler/src/persist/batch.rs
@@ -134,18 +134,15 @@
     pub machines: BTreeMap<MachineId, String>,
 }
 
-/// Encoded size of a machine's address: IPv4 with port, plus the quotes and separators of its entry, at most
-/// `"255.255.255.255:65535":,""`.
-pub(crate) const ADDRESS_BYTES: usize = 30;
-
 impl RegistryPage {
-    /// Returns an upper bound of its encoded size in bytes.
-    pub fn bytes(&self) -> usize {
-        let names: usize = self
-            .machines
-            .keys()
-            .map(|m| m.as_str().len() + ADDRESS_BYTES)
-            .sum();
-        names + self.machine_type.len() + self.zone.len() + 80
+    /// Returns its size in bytes of JSON.
+    pub fn len_in_json(&self) -> usize {
+        json_len(self)
+    }
+
+    /// Returns the size that a machine's entry adds to a page, in bytes of JSON: name and address with a colon and a
+    /// comma.
+    pub(crate) fn entry_len(id: &MachineId, address: &str) -> usize {
+        json_len(id.as_str()) + json_len(address) + 2
     }
 }
--- a/crates/hopyoke-scheduler/src/persist/records.rs
+++ b/crates/hopyoke-scheduler/src/persist/records.rs
@@ -352,13 +352,8 @@
             let Some(write) = self.registry.next_write(include_removals, selection) else {
                 return;
             };
-            let bytes = match &write {
-                Write::Page {
-                    page: Some(page), ..
-                } => page.bytes(),
-                _ => 0,
-            };
-            builder.push(write, 1, bytes);
+            let value_len = write.value_len();
+            builder.push(write, 1, value_len);
         }
     }
 
--- a/crates/hopyoke-scheduler/src/persist/registry.rs
+++ b/crates/hopyoke-scheduler/src/persist/registry.rs
@@ -7,7 +7,7 @@
 //! wait for a machine whose entry was lost. If the outcome of a page's write is unknown, its machines
 //! move to a page with a new key.
 
-use super::batch::{ADDRESS_BYTES, RegistryPage, Write};
+use super::batch::{RegistryPage, Write};
 use super::rejected_writes::{Selection, WriteKey};
 use hopyoke_types::{MachineId, ModRevision};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +15,8 @@
 /// A page and the state of its writes.
 struct Page {
     content: RegistryPage,
+    /// Size of the content in bytes of JSON, or slightly more.
+    len: usize,
     mod_revision: ModRevision,
     write_in_flight: bool,
     /// Machines were added that no applied write contains.
@@ -29,6 +31,7 @@
     /// Creates a page that is yet to be stored.
     fn unstored(content: RegistryPage) -> Page {
         Page {
+            len: content.len_in_json(),
             content,
             mod_revision: ModRevision(0),
             write_in_flight: false,
@@ -70,6 +73,7 @@
         self.pages.insert(
             key,
             Page {
+                len: content.len_in_json(),
                 content,
                 mod_revision,
                 write_in_flight: false,
@@ -124,15 +128,15 @@
     ) {
         let is_of_kind =
             |c: &RegistryPage| (c.machine_type.as_str(), c.zone.as_str(), c.spot) == kind;
+        let entry_len = RegistryPage::entry_len(&id, &address);
         let has_capacity = |p: &&mut Page| {
-            is_of_kind(&p.content)
-                && !p.is_rejected
-                && p.content.bytes() + id.as_str().len() + ADDRESS_BYTES < value_bytes
+            is_of_kind(&p.content) && !p.is_rejected && p.len + entry_len <= value_bytes
         };
         let found = self.pages.iter_mut().find(|(_, p)| has_capacity(p));
         let key = match found {
             Some((key, page)) => {
                 page.content.machines.insert(id.clone(), address);
+                page.len += entry_len;
                 page.additions_pending = true;
                 key.clone()
             }
@@ -159,7 +163,9 @@
             .remove(id)
             .and_then(|key| self.pages.get_mut(&key))
         {
-            page.content.machines.remove(id);
+            if let Some(address) = page.content.machines.remove(id) {
+                page.len -= RegistryPage::entry_len(id, &address);
+            }
             page.removals_pending = true;
         }
     }
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -6,8 +6,9 @@
 use hopyoke_protocol::json_len;
 use hopyoke_protocol::state::{Compare, Mutation, Transaction};
 use hopyoke_protocol::user::{JobKind, JobSpec};
+use hopyoke_protocol::worker::Heartbeat;
 use hopyoke_scheduler::{Batch, Job, JobRecord, Scheduler, SchedulerConfig, TaskRanges, Write};
-use hopyoke_types::{Attempt, FencingToken, JobId, Micros, ModRevision};
+use hopyoke_types::{Attempt, FencingToken, JobId, MachineId, Micros, ModRevision};
 use proptest::prelude::*;
 use std::rc::Rc;
 
@@ -201,6 +202,47 @@
     }
 }
 
+/// Guards against a page of the machine registry that outgrows the store's largest value: agents choose the names of their
+/// machines, here of control characters.
+#[test]
+fn registry_pages_of_odd_machine_names_fit() {
+    const MACHINES: u64 = 100;
+    let mut scheduler = Scheduler::new(config(), FencingToken(5), Vec::new(), Vec::new(), START);
+    for n in 0..MACHINES {
+        let heartbeat = Heartbeat {
+            machine: MachineId::new(&format!("{}{n:03}", "\u{1}".repeat(40))),
+            address: format!("10.1.0.{n}:9000"),
+            machine_type: "std".into(),
+            zone: "a".into(),
+            spot: false,
+            epoch: 1,
+            sequence: 1,
+            token: FencingToken(0),
+            preemption_notice_s: None,
+            tasks: Vec::new(),
+        };
+        scheduler.heartbeat(&heartbeat, START);
+    }
+    let mut registered = 0;
+    for n in 1..=10 {
+        let now = START + Micros::from_secs(2 * n);
+        let Some(batch) = scheduler.next_batch(now) else {
+            continue;
+        };
+        for write in &batch.writes {
+            if let Write::Page {
+                page: Some(page), ..
+            } = write
+            {
+                assert!(json_len(page) <= config().max_value_bytes);
+                registered += page.machines.len() as u64;
+            }
+        }
+        scheduler.batch_completed(batch, Ok(ModRevision(10 + n)), now);
+    }
+    assert_eq!(registered, MACHINES);
+}
+
 /// Names of at most 200 bytes, ordinary ones and such that take more in JSON.
 fn long_name() -> impl Strategy<Value = String> {
     prop_oneof![
