Pages of learned run times are counted in JSON

Fault, by reading: a page holds ten models, whose size was taken for 600 bytes each, whatever the names of their classes, which users choose. With ten classes of control characters a page takes 15 KB of JSON; the store rejects it for good, and what was learned is lost with the leader.

Evidence: on the code before, pages_of_learned_run_times_of_odd_classes_fit fails.

Change: entries that don't fit are left out of the written page, the last ones first; their models are learned again by the next leader, as those without a page are.

Measured: the test passes.

--- a/crates/hopyoke-run-times/src/pages.rs
+++ b/crates/hopyoke-run-times/src/pages.rs
@@ -60,6 +60,13 @@
     grants: Vec<(u64, u64)>,
 }
 
+impl Page {
+    /// Drops entries, the last ones first, until the page `fits`. Their models are not persisted.
+    pub fn shorten_until(&mut self, fits: impl Fn(&Page) -> bool) {
+        while !fits(self) && self.entries.pop().is_some() {}
+    }
+}
+
 /// Reason why a page was skipped or loaded only in part.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PageError {
--- a/crates/hopyoke-scheduler/src/run_times/mod.rs
+++ b/crates/hopyoke-scheduler/src/run_times/mod.rs
@@ -3,6 +3,7 @@
 
 use crate::ledger::MachinePhase;
 use crate::{Scheduler, Tuning};
+use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::{JobKind, JobSpec};
 use hopyoke_run_times::{Limits, Page, PageKey, RunOutcome, Workload};
 use hopyoke_types::{Attempt, MachineId, Micros, TaskId};
@@ -402,11 +403,14 @@
         if learned.write_budget < 1.0 || !self.tuning.learn {
             return None;
         }
-        let page = learned
+        let (key, mut page) = learned
             .learner
             .next_page_to_write(now, Micros::from_secs(5))?;
         learned.write_budget -= 1.0;
-        Some(page)
+        // Users choose the names of classes, and pages hold a number of entries.
+        let max_bytes = self.cfg.max_value_bytes;
+        page.shorten_until(|page| json_len(page) <= max_bytes);
+        Some((key, page))
     }
 
     /// Records the outcome of the write of a page of learned run times.
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -10,6 +10,7 @@
 use hopyoke_scheduler::{Batch, Job, JobRecord, Scheduler, SchedulerConfig, TaskRanges, Write};
 use hopyoke_types::{Attempt, FencingToken, JobId, MachineId, Micros, ModRevision};
 use proptest::prelude::*;
+use serde_json::{Value, json};
 use std::rc::Rc;
 
 const START: Micros = Micros::from_secs(100);
@@ -243,6 +244,30 @@
     assert_eq!(registered, MACHINES);
 }
 
+/// Guards against a page of learned run times that outgrows the store's largest value: users choose the names of classes.
+#[test]
+fn pages_of_learned_run_times_of_odd_classes_fit() {
+    let view = json!({"q": [[1, 1]], "l": 0});
+    let entry = |n: usize| {
+        let name = "\u{1}".repeat(200 - n);
+        json!(["c", name, {"v": view, "r": view, "w": [100, 100, 0, 5]}])
+    };
+    let entries: Vec<Value> = (0..10).map(entry).collect();
+    let page = serde_json::from_value(json!({"v": 1, "e": entries})).expect("a page");
+    let mut scheduler = Scheduler::new(config(), FencingToken(5), Vec::new(), Vec::new(), START);
+    scheduler.load_run_times("0", Some(&page));
+    scheduler.record_grant_time(START, START);
+    let written = (1..=10)
+        .filter_map(|n| scheduler.next_batch(START + Micros::from_secs(2 * n)))
+        .find_map(|batch| match batch.writes.into_iter().next() {
+            Some(Write::LearnedRunTimes { page, .. }) => Some(page),
+            _ => None,
+        })
+        .expect("a page of learned run times");
+    assert!(json_len(&written) <= config().max_value_bytes);
+    assert!(json_len(&written) > config().max_value_bytes / 2);
+}
+
 /// Names of at most 200 bytes, ordinary ones and such that take more in JSON.
 fn long_name() -> impl Strategy<Value = String> {
     prop_oneof![
