A job that can't be stored is refused with 400 at once

Fault: a submission whose record the store rejects as invalid was answered with 503, counted as overload, and retried by its user until the end of the minute, each time with a place in the wait queue.

Evidence: record_that_can_not_be_stored_is_refused_at_once (real controllers, a store whose limit on values is lowered) on the code before: NoInformation instead of Refused.

Change: before a job is accepted its record is counted with its largest state. If it has no room in a value, or if the store rejects it, the answer is 400 and names field and limit, unless the job was accepted earlier: then it is the job's state, as for 422. With values of 8 KiB every description that passes the checks has room, so the door is as wide as before.

Measured: the test passes; also with repeated submissions of a job accepted before the limit was lowered, at each controller.

--- a/crates/hopyoke-emulator/src/kv_store.rs
+++ b/crates/hopyoke-emulator/src/kv_store.rs
@@ -66,6 +66,8 @@
     is_down: Cell<bool>,
     /// Latency injected into requests, if set.
     pub latency: RefCell<Option<LatencyRule>>,
+    /// Maximum size of a value as JSON; [`MAX_VALUE_BYTES`] if `None`.
+    max_value_bytes: Cell<Option<usize>>,
     /// Number of requests received.
     pub request_count: Cell<u64>,
     /// Number of mutations received, including those of failed transactions, as the protocol counts them.
@@ -163,6 +165,11 @@
         self.inner.borrow_mut().log_length = Some(changes);
     }
 
+    /// Changes the maximum size of values, in bytes of JSON.
+    pub fn set_max_value_bytes(&self, bytes: usize) {
+        self.max_value_bytes.set(Some(bytes));
+    }
+
     /// Writes a value unconditionally, without a size limit.
     pub fn put(&self, key: &str, value: Value) {
         let mut inner = self.inner.borrow_mut();
@@ -311,9 +318,10 @@
         {
             return Response::msgpack(400, &json!({ "error": "no such lease" }));
         }
+        let max_value_bytes = self.max_value_bytes.get().unwrap_or(MAX_VALUE_BYTES);
         if mutations
             .iter()
-            .any(|m| json_bytes(&m.value) > MAX_VALUE_BYTES)
+            .any(|m| json_bytes(&m.value) > max_value_bytes)
             || mutations.len() > MAX_MUTATIONS
             || transaction.compares.len() > MAX_COMPARES
         {
--- a/crates/hopyoke-emulator/tests/concurrent_reads/main.rs
+++ b/crates/hopyoke-emulator/tests/concurrent_reads/main.rs
@@ -3,6 +3,7 @@
 //! sent. Guards the invariants `forgotten`, `went_back` and `invented`.
 
 mod history;
+mod rejected_record;
 mod repeated_push;
 mod setup;
 mod slow_store;
--- a/crates/hopyoke-scheduler/src/config.rs
+++ b/crates/hopyoke-scheduler/src/config.rs
@@ -7,6 +7,8 @@
 
 /// Largest size of a batch of several writes, in bytes of JSON, well below the store's limit of 64 KiB on transactions.
 pub(crate) const MAX_BATCH_BYTES: usize = 40 * 1024;
+/// Least number of a job's unfinished tasks that are considered for placement.
+pub(crate) const MIN_WINDOW: u32 = 16;
 /// Size up to which a job's record without its completed tasks counts as ordinary, in bytes.
 const ORDINARY_RECORD_BYTES: usize = 3584;
 
@@ -93,7 +95,7 @@
     /// Returns how many of a job's unfinished tasks, lowest numbers first, are always considered for placement.
     /// As a list of ranges, the completed tasks among them fit the record.
     pub fn placement_window(&self, available: usize) -> u32 {
-        (self.max_done_chars(available) / RANGE_CHARS).max(16) as u32
+        (self.max_done_chars(available) / RANGE_CHARS).max(MIN_WINDOW as usize) as u32
     }
 
     /// Returns how far beyond the first unfinished task other tasks are considered for placement. Within this
--- a/crates/hopyoke-scheduler/src/ledger/job.rs
+++ b/crates/hopyoke-scheduler/src/ledger/job.rs
@@ -1,8 +1,9 @@
 //! Unfinished jobs in the leader's ledger, and job records in the key-value store.
 
+use crate::config::MIN_WINDOW;
 use crate::ledger::{ImageKey, WaitReason};
 use crate::resources::Resources;
-use crate::task_ranges::TaskRanges;
+use crate::task_ranges::{RANGE_CHARS, TaskRanges};
 use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::{JobKind, JobSpec, JobState};
 use hopyoke_types::Micros;
@@ -35,6 +36,23 @@
     pub is_workflow_step: bool,
 }
 
+/// Room that every record leaves for its completed tasks, in characters: that of the smallest window of placement.
+const MIN_DONE_CHARS: usize = MIN_WINDOW as usize * RANGE_CHARS;
+
+/// Why a job can't be stored. The message is returned to the user, so it names the field as users write it.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "{field}: the job's description takes {bytes} bytes as JSON, of at most {max_bytes} that can be kept"
+)]
+pub struct RecordTooLong {
+    /// Name of the longest field on the wire.
+    pub field: &'static str,
+    /// Size of the record in JSON, in bytes.
+    pub bytes: usize,
+    /// Largest size that can be stored.
+    pub max_bytes: usize,
+}
+
 fn is_false(b: &bool) -> bool {
     !*b
 }
@@ -78,6 +96,32 @@
         })
     }
 
+    /// Checks that the record has room, in any state, in a value of `max_value_bytes` bytes of JSON.
+    ///
+    /// # Errors
+    /// Names the field that takes most.
+    pub fn check_len(&self, max_value_bytes: usize) -> Result<(), RecordTooLong> {
+        let max_bytes = max_value_bytes.saturating_sub(MIN_DONE_CHARS);
+        let bytes = self.max_len_without_done();
+        if bytes <= max_bytes {
+            return Ok(());
+        }
+        let spec = &self.spec;
+        let fields = [
+            ("berth", json_len(&spec.class)),
+            ("crew", json_len(&spec.team)),
+            ("cargo", json_len(&spec.image)),
+            ("basin", json_len(&spec.zone)),
+            ("rigs", json_len(&spec.machine_types)),
+        ];
+        let longest = fields.into_iter().max_by_key(|(_, len)| *len);
+        Err(RecordTooLong {
+            field: longest.map_or("", |(field, _)| field),
+            bytes,
+            max_bytes,
+        })
+    }
+
     /// Returns true if some leader may have sent a start command for one of its tasks.
     pub fn may_have_started(&self) -> bool {
         self.start_attempt.0 != 0 || !self.has_start_marker
--- a/crates/hopyoke-scheduler/src/lib.rs
+++ b/crates/hopyoke-scheduler/src/lib.rs
@@ -30,7 +30,8 @@
 pub use autoscale::scale_out::ScaleOutOutcome;
 pub use config::SchedulerConfig;
 pub use ledger::{
-    Allocation, AllocationState, EndRecord, Job, JobRecord, Load, Machine, MachinePhase, WaitReason,
+    Allocation, AllocationState, EndRecord, Job, JobRecord, Load, Machine, MachinePhase,
+    RecordTooLong, WaitReason,
 };
 pub use persist::batch::{Batch, BatchError, RegistryPage, Write};
 pub use persist::rejected_writes::{Rejection, WriteKey};
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -133,6 +133,25 @@
     }
 }
 
+/// A job that can't be stored is refused with the field that takes most and the limit.
+#[test]
+fn record_over_the_limit_names_field_and_limit() {
+    let record = JobRecord::accepted(largest_spec(1), ACCEPTED_US);
+    assert_eq!(record.check_len(8 * 1024), Ok(()));
+    let error = record.check_len(4 * 1024).expect_err("a small store");
+    assert_eq!((error.field, error.max_bytes), ("rigs", 4 * 1024 - 16 * 14));
+    let other = JobSpec {
+        image: "\u{1}".repeat(200),
+        machine_types: None,
+        ..spec()
+    };
+    let error = JobRecord::accepted(other, ACCEPTED_US)
+        .check_len(1024)
+        .expect_err("a smaller store");
+    assert!(error.to_string().starts_with("cargo: "), "{error}");
+    assert!(error.to_string().contains("at most 800"), "{error}");
+}
+
 /// Returns the size of a batch of job records as the store counts it.
 fn transaction_len(batch: &Batch) -> usize {
     let mut transaction = Transaction {
--- a/crates/hopyoke/src/api/jobs.rs
+++ b/crates/hopyoke/src/api/jobs.rs
@@ -335,15 +335,14 @@
         unschedulable_reason(&spec, &types, &node.config.zones, &node.config.teams)
     };
     let id = spec.id.clone();
-    let client = node.store.submissions().with_deadline(deadline.at());
-    let result = match unschedulable {
-        // A job that was accepted under an earlier catalog stays accepted.
-        Some(reason) => match lookup(node, client, &id).await {
-            Ok(Lookup::NotFound) => Ok(error_response(422, &reason)),
-            Ok(found) => Ok(job_response(node, &id, found)),
-            Err(e) => Err(e),
-        },
-        None => accept(node, spec, deadline).await,
+    let record = JobRecord::accepted(spec, runtime::unix_time().0);
+    let too_long = record.check_len(node.config.max_value_bytes).err();
+    let result = if let Some(reason) = unschedulable {
+        refuse(node, &id, deadline, 422, &reason).await
+    } else if let Some(reason) = too_long {
+        refuse(node, &id, deadline, 400, &reason.to_string()).await
+    } else {
+        accept(node, record, deadline).await
     };
     result.unwrap_or_else(|e| {
         debug!(job = %id, error = %e, "failed to store submitted job");
@@ -351,14 +350,30 @@
     })
 }
 
+/// Refuses a submission, unless the job was accepted earlier, under another catalog or other limits. Guards the invariant
+/// `forgotten`.
+async fn refuse(
+    node: &Node,
+    id: &JobId,
+    deadline: RequestDeadline,
+    status: u16,
+    reason: &str,
+) -> Result<Response, StoreError> {
+    let client = node.store.submissions().with_deadline(deadline.at());
+    Ok(match lookup(node, client, id).await? {
+        Lookup::NotFound => error_response(status, reason),
+        found => job_response(node, id, found),
+    })
+}
+
 /// Accepts a job: creates its record by compare-and-swap, and answers only once that is committed. Submissions are
 /// idempotent: if the record exists, the response is the job's status.
 async fn accept(
     node: &Rc<Node>,
-    spec: JobSpec,
+    record: JobRecord,
     deadline: RequestDeadline,
 ) -> Result<Response, StoreError> {
-    let id = spec.id.clone();
+    let id = record.spec.id.clone();
     if let Some(end) = node
         .terminal_states
         .get(&id)
@@ -366,7 +381,7 @@
     {
         return Ok(finished_response(&id, end));
     }
-    if let Err(retry_after) = node.admission.admit(node, &spec) {
+    if let Err(retry_after) = node.admission.admit(node, &record.spec) {
         debug!(job = %id, after_s = retry_after.0, "submission rejected by admission control");
         // Admission control does not apply to a repeated submission that can be answered without a request to the store.
         let is_known = node
@@ -378,11 +393,14 @@
             Ok(overloaded(retry_after))
         };
     }
-    let team = spec.team.clone();
-    let record = JobRecord::accepted(spec, runtime::unix_time().0);
+    let team = record.spec.team.clone();
     let client = node.store.submissions().with_deadline(deadline.at());
     let outcome = match records::create(node, client, record, Vec::new()).await {
         Err(e @ StoreError::DeadlineExceeded) => return Err(e),
+        Err(e @ StoreError::Invalid(_)) => {
+            warn!(job = %id, error = %e, "key-value store rejects the record of a submitted job");
+            return refuse(node, &id, deadline, 400, "the job's record can't be stored").await;
+        }
         Err(e) if e.is_refusal() && node.store.is_responding() => {
             return Ok(overloaded(node.admission.reject(node, &id, &team)));
         }
