A workflow's step that can't be stored fails, instead of being submitted for ever

The step was submitted again and again, the run never ended, and each attempt paused the submissions of all runs for half a second.

Change: a step whose job's record has no room in a value, or is rejected by the store as invalid, fails with that reason, unless its job was accepted earlier.

--- a/crates/hopyoke-emulator/src/kv_store.rs
+++ b/crates/hopyoke-emulator/src/kv_store.rs
@@ -68,6 +68,8 @@
     pub latency: RefCell<Option<LatencyRule>>,
     /// Maximum size of a value as JSON; [`MAX_VALUE_BYTES`] if `None`.
     max_value_bytes: Cell<Option<usize>>,
+    /// Prefix of the keys whose puts are answered with 400.
+    rejected_prefix: RefCell<Option<String>>,
     /// Number of requests received.
     pub request_count: Cell<u64>,
     /// Number of mutations received, including those of failed transactions, as the protocol counts them.
@@ -170,6 +172,18 @@
         self.max_value_bytes.set(Some(bytes));
     }
 
+    /// Answers every transaction that writes a key with this prefix with 400, as one that is invalid.
+    pub fn reject_puts(&self, prefix: &str) {
+        *self.rejected_prefix.borrow_mut() = Some(prefix.to_owned());
+    }
+
+    fn is_rejected(&self, mutation: &Mutation) -> bool {
+        match (&*self.rejected_prefix.borrow(), &mutation.write) {
+            (Some(prefix), Some(key)) => key.starts_with(prefix),
+            _ => false,
+        }
+    }
+
     /// Writes a value unconditionally, without a size limit.
     pub fn put(&self, key: &str, value: Value) {
         let mut inner = self.inner.borrow_mut();
@@ -322,6 +336,7 @@
         if mutations
             .iter()
             .any(|m| json_bytes(&m.value) > max_value_bytes)
+            || mutations.iter().any(|m| self.is_rejected(m))
             || mutations.len() > MAX_MUTATIONS
             || transaction.compares.len() > MAX_COMPARES
         {
--- a/crates/hopyoke-wes/tests/loopback.rs
+++ b/crates/hopyoke-wes/tests/loopback.rs
@@ -304,6 +304,29 @@
     assert_eq!(*native_starts.borrow(), *cwl_starts.borrow());
 }
 
+/// Guards against a run that never ends, and holds up all others, because the key-value store rejects the records of its
+/// steps' jobs as invalid.
+#[test]
+fn run_fails_if_a_step_can_not_be_stored() {
+    run_on_event_loop(async {
+        let config = ClusterConfig {
+            controllers: 1,
+            max_machines: 1,
+            policy: "flows = true\n".into(),
+            ..ClusterConfig::new(&binary_path("hopyoke"), &temp_dir("rejected-step"))
+        };
+        let cluster = Cluster::start(config).expect("start the cluster");
+        let service = start_service(&cluster);
+        cluster.store.reject_puts("job/");
+        let main = write_file(&cluster.config.dir, "ledger.cwl", &ledger_workflow());
+        let inputs = json!({ "book": { "class": "File", "location": "book.csv" }, "pages": [1] });
+        let inputs = write_file(&cluster.config.dir, "inputs.json", &inputs.to_string());
+        let args = ["run", &main, &inputs, "--to", &service.url].map(str::to_owned);
+        let (code, _, stderr) = run_cwl_command(args.to_vec(), TOKEN).await;
+        assert!(code != 0 && stderr.contains("can't be stored"), "{stderr}");
+    });
+}
+
 /// Active runs complete without lost or duplicate tasks after all controllers are killed and restarted.
 /// Also covers cancelling an active run and resuming a failed one.
 #[test]
--- a/crates/hopyoke/src/workflows/actions.rs
+++ b/crates/hopyoke/src/workflows/actions.rs
@@ -18,7 +18,7 @@
 use hopyoke_types::{Micros, ModRevision};
 use hopyoke_workflow::{Action, Head, JobOutcome, RunClaim, RunId, StepPage, WriteOutcome};
 use std::rc::Rc;
-use tracing::debug;
+use tracing::{debug, warn};
 
 /// Executes one action and reports its outcome to the engine.
 #[expect(
@@ -192,16 +192,11 @@
         }
         unschedulable_reason(spec, &types, &node.config.zones, &node.config.teams)
     };
-    if let Some(reason) = unschedulable {
-        // A job that was accepted under an earlier catalog stays accepted.
-        return Ok(
-            match lookup(node, node.store.background(), &spec.id).await? {
-                Lookup::NotFound => JobOutcome::Invalid(reason),
-                found => outcome_of_lookup(&found),
-            },
-        );
-    }
     let record = JobRecord::for_workflow_step(spec.clone(), runtime::unix_time().0);
+    let too_long = record.check_len(node.config.max_value_bytes).err();
+    if let Some(reason) = unschedulable.or(too_long.map(|e| e.to_string())) {
+        return refuse(node, spec, reason).await;
+    }
     let preconditions = vec![
         Compare {
             key: workflow_claim_key(run),
@@ -212,18 +207,31 @@
             mod_revision: head_revision,
         },
     ];
-    Ok(
-        match records::create(node, node.store.submissions(), record, preconditions).await? {
-            TransactionOutcome::Applied(_) => JobOutcome::Accepted,
-            // Either a precondition failed or the job exists already; only its record shows which.
-            TransactionOutcome::Failed(_) => {
-                match lookup(node, node.store.background(), &spec.id).await? {
-                    Lookup::NotFound => JobOutcome::Stale,
-                    found => outcome_of_lookup(&found),
-                }
-            }
-        },
-    )
+    match records::create(node, node.store.submissions(), record, preconditions).await {
+        Ok(TransactionOutcome::Applied(_)) => Ok(JobOutcome::Accepted),
+        // Either a precondition failed or the job exists already; only its record shows which.
+        Ok(TransactionOutcome::Failed(_)) => Ok(
+            match lookup(node, node.store.background(), &spec.id).await? {
+                Lookup::NotFound => JobOutcome::Stale,
+                found => outcome_of_lookup(&found),
+            },
+        ),
+        // Repetition would not help: the step fails.
+        Err(e @ StoreError::Invalid(_)) => {
+            warn!(%run, job = %spec.id, error = %e, "key-value store rejects the record of a step's job");
+            refuse(node, spec, "its job's record can't be stored".to_owned()).await
+        }
+        Err(e) => Err(e),
+    }
+}
+
+/// Refuses a step's job, unless it was accepted earlier, under another catalog or other limits.
+async fn refuse(node: &Node, spec: &JobSpec, reason: String) -> Result<JobOutcome, StoreError> {
+    let found = lookup(node, node.store.background(), &spec.id).await?;
+    Ok(match found {
+        Lookup::NotFound => JobOutcome::Invalid(reason),
+        found => outcome_of_lookup(&found),
+    })
 }
 
 /// Returns the outcome of a submission whose job's record exists, by what was read of it.
@@ -296,7 +304,12 @@
     match node.store.background().txn(compares, mutations).await {
         Ok(TransactionOutcome::Applied(mod_revision)) => WriteOutcome::Applied(mod_revision),
         Ok(TransactionOutcome::Failed(_)) => WriteOutcome::Conflict,
-        Err(e) if e.is_refusal() => WriteOutcome::Rejected,
+        Err(e) if e.is_refusal() => {
+            if matches!(e, StoreError::Invalid(_)) {
+                warn!(%run, error = %e, "key-value store rejects the progress of a workflow run");
+            }
+            WriteOutcome::Rejected
+        }
         Err(_) => WriteOutcome::Unknown,
     }
 }
