The head of a workflow run fits in every state

Fault, by reading: the head of a new run was accepted if its JSON, as it was then, took at most a value. Its later states take more: other names of states, times, counts, the run that it resumes, and a reason with the path of a step (400 bytes, six times that in JSON). The head of such a run can't be written any more: it can neither be cancelled nor end.

Evidence: by arithmetic (the check compared the length of the first state with the whole limit; `Head::max_len`, which the new test needs, did not exist).

Change: a new run is accepted if its head fits in its largest state. A head keeps the first 768 bytes of JSON of a reason. A repeated submission of a run that exists finds it before this check, as before.

Measured: head_fits_in_every_state, a property test, and all tests of hopyoke-workflow pass.

--- a/crates/hopyoke-workflow/src/engine/progress.rs
+++ b/crates/hopyoke-workflow/src/engine/progress.rs
@@ -73,25 +73,19 @@
         _ => RunState::Done,
     };
     let reason = if state == RunState::Failed {
-        table.reason.clone()
+        table.reason.as_str()
     } else {
-        String::new()
+        ""
     };
     Head {
-        state,
-        reason,
         done: table.done(),
-        ..head.clone()
+        ..head.in_state(state, reason)
     }
 }
 
 /// Returns the head of a run that stops because a step failed.
 fn failing_head(head: &Head, table: &StepTable) -> Head {
-    Head {
-        state: RunState::Failing,
-        reason: table.reason.clone(),
-        ..head.clone()
-    }
+    head.in_state(RunState::Failing, &table.reason)
 }
 
 /// Returns a write of these pages and the head, and marks the pages as clean.
--- a/crates/hopyoke-workflow/src/record.rs
+++ b/crates/hopyoke-workflow/src/record.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{RunId, StepNo};
 use crate::plan::Plan;
+use hopyoke_protocol::json_len;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -123,6 +124,47 @@
     }
 }
 
+/// Largest reason that a head keeps, in bytes of JSON. Paths of steps can be longer.
+const MAX_REASON_BYTES: usize = 768;
+
+impl Head {
+    /// Returns an upper bound of its size in JSON in any later state, and of that of a run that resumes it.
+    pub fn max_len(&self) -> usize {
+        let largest_id = RunId::wrapping_new(u64::MAX);
+        let largest = Head {
+            state: RunState::Cancelling,
+            ended_us: u64::MAX,
+            submitted_us: u64::MAX,
+            done: u32::MAX,
+            resumes: Some(largest_id),
+            plan_source: Some(largest_id),
+            reason: String::new(),
+            ..self.clone()
+        };
+        json_len(&largest) + MAX_REASON_BYTES
+    }
+
+    /// Returns the head of the run in another state, with the reason, of which the head keeps the beginning.
+    #[must_use]
+    pub fn in_state(&self, state: RunState, reason: &str) -> Head {
+        Head {
+            state,
+            reason: beginning(reason, MAX_REASON_BYTES),
+            ..self.clone()
+        }
+    }
+}
+
+/// Returns as much of a text as takes at most `max_bytes` bytes of JSON.
+fn beginning(text: &str, max_bytes: usize) -> String {
+    let mut bytes = json_len("");
+    let fits = |c: &char| {
+        bytes += json_len(c) - json_len("");
+        bytes <= max_bytes
+    };
+    text.chars().take_while(fits).collect()
+}
+
 /// A node's claim to a run, stored under `flow/hold/RUN` and attached to the owner's lease. Its revision is the fencing
 /// token of the owner's submissions and writes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/hopyoke-workflow/tests/properties.rs
+++ b/crates/hopyoke-workflow/tests/properties.rs
@@ -4,9 +4,10 @@
 #[expect(dead_code, reason = "the scenario tests use more of the model")]
 mod model;
 
+use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::JobSpec;
 use hopyoke_types::{JobId, Micros};
-use hopyoke_workflow::{OnError, Plan, PlanPage, PlanStep, RunId, RunState, StepNo};
+use hopyoke_workflow::{Head, OnError, Plan, PlanPage, PlanStep, RunId, RunState, StepNo};
 use model::{FAULTS, JobBehavior, Model};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -134,6 +135,33 @@
         }
     }
 
+    /// Guards against a head that outgrows the store's largest value once its run is cancelled or fails.
+    #[test]
+    fn head_fits_in_every_state(
+        names in prop::collection::vec(".{0,100}", 4),
+        reason in ".{0,2000}",
+        state in 0usize..6,
+        numbers in any::<(u64, u32, u64)>(),
+    ) {
+        let plan = Plan::default();
+        let accepted = Head {
+            tags: BTreeMap::from([(names[2].clone(), names[3].clone())]),
+            ..Head::new(&names[0], "crew", &names[1], &plan, 1, 1_765_000_000_000_000)
+        };
+        let state = [RunState::Running, RunState::Failing, RunState::Cancelling, RunState::Done,
+            RunState::Failed, RunState::Cancelled][state];
+        let later = Head {
+            ended_us: numbers.0,
+            done: numbers.1,
+            resumes: Some(RunId::wrapping_new(numbers.2)),
+            plan_source: Some(RunId::wrapping_new(numbers.2)),
+            ..accepted.in_state(state, &reason)
+        };
+        prop_assert!(reason.starts_with(&later.reason));
+        prop_assert!(later.reason.len() >= reason.len().min(60));
+        prop_assert!(json_len(&later) <= accepted.max_len());
+    }
+
     #[test]
     fn plans_are_restored_from_pages(g in graphs(), bytes in 1024usize..8192, outputs in ".{0,3000}") {
         let plan = Plan { outputs, ..plan_of(&g) };
--- a/crates/hopyoke/src/workflows/calls.rs
+++ b/crates/hopyoke/src/workflows/calls.rs
@@ -193,7 +193,7 @@
             runtime::unix_time().0,
         )
     };
-    if serde_json::to_string(&head).map_or(usize::MAX, |t| t.len()) > node.config.max_value_bytes {
+    if head.max_len() > node.config.max_value_bytes {
         return reject(400, "name, owner and tags together are too long");
     }
     write_plan(node, workflows, run, &pages).await?;
