A task that a restarted machine lost starts elsewhere only once the machine refuses copies of its start

Fault, found while looking for late copies of executed starts: an agent that lists an attempt, and then does not although it was not acknowledged, has lost it: its machine has restarted, within the epoch. The leader took the attempt for gone at once and started the task elsewhere, while the agent still had the token under which the start had been pushed. A copy of that push starts the task a second time (`ran_twice`), or after its cancellation's bound (`ran_cancelled`).

Evidence: lost_attempt_is_replaced_only_once_its_agent_refuses_its_start (the machine has kept its highest token, or has not) on the code before: "given up under the token of its push".

Change: an allocation knows the highest token under which its start may have been pushed; for one of an earlier leader that is any below this term's. If it vanishes, it stays in the ledger, the agent's token is raised as for acknowledgements, and it is given up once a heartbeat shows a higher token than that of its start.

--- a/crates/hopyoke-scheduler/src/ledger/allocation.rs
+++ b/crates/hopyoke-scheduler/src/ledger/allocation.rs
@@ -3,7 +3,7 @@
 use crate::resources::Resources;
 use hopyoke_protocol::user::JobSpec;
 use hopyoke_protocol::worker::{ExitReason, TaskState};
-use hopyoke_types::Micros;
+use hopyoke_types::{FencingToken, Micros};
 use std::rc::Rc;
 
 /// A task attempt on a machine, from the decision to start it until its agent no longer lists it.
@@ -21,6 +21,11 @@
     pub push_in_flight: bool,
     /// A pushed start command got no answer: the agent may still execute it at any time in this epoch.
     pub outcome_unknown: bool,
+    /// Highest token under which its start may have been pushed. Until the agent has seen a higher one, a repetition of that
+    /// push starts the attempt, unless the agent knows it. `None` if no start was pushed.
+    pub(crate) pushed_under: Option<FencingToken>,
+    /// The agent no longer lists it although it was not acknowledged: the agent has lost it.
+    pub(crate) is_missing: bool,
     /// The stop that was requested, if any.
     pub stop: Option<StopRequest>,
     /// When the attempt was created by this leader, or first reported to it.
@@ -56,12 +61,19 @@
             start_sent_with: None,
             push_in_flight: false,
             outcome_unknown: false,
+            pushed_under: None,
+            is_missing: false,
             stop: None,
             created_at: now,
             running_since: None,
         }
     }
 
+    /// Returns whether an agent that has seen `token` refuses all pushes that may contain the attempt's start.
+    pub(crate) fn is_start_refused_under(&self, token: FencingToken) -> bool {
+        self.pushed_under.is_none_or(|pushed| token > pushed)
+    }
+
     /// Returns true unless the attempt is known to have exited.
     pub fn is_live(&self) -> bool {
         !matches!(self.state, AllocationState::Ended(_))
--- a/crates/hopyoke-scheduler/src/reconcile/command_tokens.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/command_tokens.rs
@@ -76,6 +76,15 @@
         self.current
     }
 
+    /// Returns the highest token under which a start may have been pushed to the agent, by this or an earlier leader.
+    pub(crate) fn latest_start(&self) -> FencingToken {
+        if self.start_pushed {
+            self.current
+        } else {
+            FencingToken(self.current.0.saturating_sub(1))
+        }
+    }
+
     /// Records that a start is being pushed.
     pub(crate) fn start_pushed(&mut self) {
         self.start_pushed = true;
--- a/crates/hopyoke-scheduler/src/reconcile/commands.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/commands.rs
@@ -29,6 +29,7 @@
         // every task that it does not stop. Guards the invariant `ran_cancelled`.
         let mut stops = Vec::new();
         let mut others = Vec::new();
+        let pushed_under = answers.is_none().then(|| m.agent_token.current());
         for ((task, attempt), allocation) in m.allocations_in_flight() {
             let (name, attempt) = (task.to_string(), *attempt);
             let job = self.jobs.get(&task.job);
@@ -45,7 +46,9 @@
                         others.push(Command::Acknowledge { task, attempt });
                     }
                 }
+                _ if allocation.is_missing => {}
                 AllocationState::Unconfirmed if allocation.stop.is_some() => {
+                    allocation.pushed_under = pushed_under.max(allocation.pushed_under);
                     stops.extend(stop_unconfirmed_start(allocation, name, attempt, now));
                 }
                 AllocationState::Unconfirmed => {
@@ -57,6 +60,7 @@
                             Some(a) => allocation.start_sent_with = Some(a),
                             None => allocation.push_in_flight = true,
                         }
+                        allocation.pushed_under = pushed_under.max(allocation.pushed_under);
                         let task = name;
                         others.push(Command::Start { task, attempt });
                     }
@@ -92,6 +96,9 @@
         }
         let jobs = &self.jobs;
         let is_any_due = m.allocations().iter().any(|((task, _), allocation)| {
+            if allocation.is_missing {
+                return true;
+            }
             let AllocationState::Ended(exit_reason) = allocation.state else {
                 return false;
             };
--- a/crates/hopyoke-scheduler/src/reconcile/task_status.rs
+++ b/crates/hopyoke-scheduler/src/reconcile/task_status.rs
@@ -35,9 +35,13 @@
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
-        let Some(previous) = m.allocations().get(&key).map(|s| s.state) else {
+        let Some(listed) = m.allocations().get(&key) else {
             return;
         };
+        let (previous, was_missing) = (listed.state, listed.is_missing);
+        if was_missing && let Some(listed) = m.allocations_mut().get_mut(&key) {
+            listed.is_missing = false;
+        }
         if matches!(previous, AllocationState::Ended(_)) || (is_known && previous == state) {
             return;
         }
@@ -87,8 +91,9 @@
         now: Micros,
     ) {
         let spec = self.jobs.get(&key.0.job).map(|j| j.spec.clone());
-        let allocation = Allocation::new(AllocationState::Live(TaskState::Fetching), spec, now);
+        let mut allocation = Allocation::new(AllocationState::Live(TaskState::Fetching), spec, now);
         if let Some(m) = self.machines.get_mut(id) {
+            allocation.pushed_under = Some(m.agent_token.latest_start());
             m.allocations_mut().insert(key.clone(), allocation);
         }
         self.add_attempt(id, &key.0, status.attempt);
@@ -285,6 +290,14 @@
             let Some(m) = self.machines.get_mut(id) else {
                 return;
             };
+            // An agent that lost an attempt, such as one whose machine has restarted, would start it again if the network
+            // repeated its pushed start. Guards the invariants `ran_twice` and `ran_cancelled`.
+            if let Some(lost) = m.allocations_mut().get_mut(&(task.clone(), attempt))
+                && !lost.is_start_refused_under(heartbeat.token)
+            {
+                lost.is_missing = true;
+                continue;
+            }
             let removed = m.allocations_mut().remove(&(task.clone(), attempt));
             if removed
                 .as_ref()
--- a/crates/hopyoke-scheduler/tests/pushed_commands.rs
+++ b/crates/hopyoke-scheduler/tests/pushed_commands.rs
@@ -375,3 +375,32 @@
     assert!(!leader.scheduler.is_superseded_by(FencingToken(9)));
     assert!(leader.scheduler.is_superseded_by(FencingToken(10)));
 }
+
+/// Guards against a task that starts elsewhere while its former machine, which has restarted and lost it within the epoch,
+/// would start it again on a repetition of its push. The machine may have kept its highest token or not.
+#[test]
+fn lost_attempt_is_replaced_only_once_its_agent_refuses_its_start() {
+    for token_after_restart in [GRANTED, FencingToken(0)] {
+        let (mut leader, attempt) = Leader::with_pushed_start();
+        leader.answer_push(vec![running(attempt)]);
+        leader.agent_token = token_after_restart;
+        leader.heartbeat(Vec::new());
+        leader.wait(1);
+        leader.heartbeat(Vec::new());
+        leader.wait(1);
+        let is_placed = |leader: &Leader| leader.scheduler.machines[&machine()].has_live_attempts();
+        assert!(is_placed(&leader), "given up under the token of its push");
+        let starts = |pushes: Vec<(FencingToken, Vec<Command>)>| {
+            let commands = pushes.into_iter().flat_map(|(_, commands)| commands);
+            commands.filter_map(|c| start_of(&c)).count()
+        };
+        assert_eq!(starts(leader.pushes()), 0);
+        leader.apply_write(9);
+        let reply = leader.heartbeat(Vec::new());
+        assert_eq!(reply.token, FencingToken(9));
+        let reply = leader.heartbeat(Vec::new());
+        leader.wait(1);
+        let in_response = reply.commands.iter().filter_map(start_of).count();
+        assert_eq!(starts(leader.pushes()) + in_response, 1, "a new attempt");
+    }
+}
--- a/crates/hopyoke-simulator/src/agent/heartbeats.rs
+++ b/crates/hopyoke-simulator/src/agent/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Heartbeats of agents, responses to them, pushed commands, and the lease of an agent.
 
-use super::HeartbeatResult;
+use super::{AgentMemory, HeartbeatResult, RememberedEpoch};
 use crate::{Host, Simulation};
 use hopyoke_protocol::worker::{Command, Heartbeat};
 use hopyoke_types::{Attempt, FencingToken, MachineId, Micros, TaskId};
@@ -66,6 +66,33 @@
         }
     }
 
+    /// Restarts a machine: it is back at once, without its tasks and images, and with what its agent `remembers`.
+    pub(crate) fn reboot(&mut self, id: &MachineId, remembers: &AgentMemory) {
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        m.epoch = match remembers.epoch {
+            RememberedEpoch::Same => m.epoch,
+            RememberedEpoch::Next => m.epoch + 1,
+            RememberedEpoch::First => 1,
+        };
+        if !remembers.token {
+            m.token = FencingToken(0);
+        }
+        if !remembers.sequence {
+            m.sequence = 0;
+        }
+        (m.in_flight, m.lease_started_at) = (None, now);
+        m.images.clear();
+        let killed: Vec<(TaskId, Attempt)> = std::mem::take(&mut m.tasks).into_keys().collect();
+        self.log(|| format!("{id} restarts, {} tasks lost", killed.len()));
+        for (task, attempt) in killed {
+            self.end_gang_on_member_loss(&task.job, attempt);
+        }
+        self.send_heartbeat(id);
+    }
+
     /// Schedules a heartbeat that reports a change, at least half a second after the previous heartbeat.
     pub(crate) fn schedule_heartbeat(&mut self, id: &MachineId) {
         let now = self.now;
--- a/crates/hopyoke-simulator/src/agent/mod.rs
+++ b/crates/hopyoke-simulator/src/agent/mod.rs
@@ -81,6 +81,22 @@
     heartbeat_scheduled: bool,
 }
 
+/// Epoch of an agent after a restart of its machine.
+pub(crate) enum RememberedEpoch {
+    Same,
+    Next,
+    First,
+}
+
+/// What an agent remembers when its machine has restarted. The protocol leaves it open.
+pub(crate) struct AgentMemory {
+    pub(crate) epoch: RememberedEpoch,
+    /// Whether the highest fencing token is kept.
+    pub(crate) token: bool,
+    /// Whether the sequence number is kept.
+    pub(crate) sequence: bool,
+}
+
 impl Agent {
     /// Creates the agent of a machine that has not booted yet.
     pub(crate) fn new(
--- a/crates/hopyoke-simulator/src/scenario/machine_faults.rs
+++ b/crates/hopyoke-simulator/src/scenario/machine_faults.rs
@@ -3,7 +3,7 @@
 use super::parser::{Words, key_values, next_word, number, seconds};
 use super::selectors::{fault_end, machine};
 use crate::Simulation;
-use crate::agent::Agent;
+use crate::agent::{Agent, AgentMemory, RememberedEpoch};
 use hopyoke_types::{MachineId, Micros};
 
 /// Injects a machine fault. Returns false if `name` is not one.
@@ -36,6 +36,13 @@
                 agent.is_faulty = true;
             }
         }
+        "reboot" => {
+            let id = machine(sim, next_word(words));
+            let memory = agent_memory(words);
+            if let Some(id) = id {
+                sim.reboot(&id, &memory);
+            }
+        }
         "take" => {
             if let Some(id) = machine(sim, next_word(words)) {
                 sim.remove_machine(&id);
@@ -52,6 +59,20 @@
     true
 }
 
+/// `epoch same|next|first token kept|lost sequence kept|lost`: what an agent remembers of the time before a restart.
+fn agent_memory(words: &mut Words<'_>) -> AgentMemory {
+    let pairs = key_values(words);
+    AgentMemory {
+        epoch: match pairs["epoch"] {
+            "same" => RememberedEpoch::Same,
+            "next" => RememberedEpoch::Next,
+            _ => RememberedEpoch::First,
+        },
+        token: pairs["token"] == "kept",
+        sequence: pairs["sequence"] == "kept",
+    }
+}
+
 /// Returns the agent of a machine. Returns `None` if there is no such machine.
 fn agent_mut(sim: &mut Simulation, id: Option<MachineId>) -> Option<&mut Agent> {
     id.and_then(|id| sim.machines.get_mut(&id))
