--- a/crates/hopyoke-simulator/src/scenario/random_day.rs
+++ b/crates/hopyoke-simulator/src/scenario/random_day.rs
@@ -4,6 +4,9 @@
 use crate::Simulation;
 use hopyoke_types::Micros;
 
+/// Largest record with odd names of machine types: by the protocol's count it just fits when the job is accepted.
+const MAX_ODD_RECORD_BYTES: u64 = 8_190;
+
 /// Highest job number that random faults name.
 const MAX_FAULT_JOB: u64 = 40;
 
@@ -43,7 +46,12 @@
              checkpoint {checkpoint} save 2 image img-{}",
             sim.random(1, 4)
         );
-        schedule_event(sim, time_s, line);
+        let odd = match sim.random(0, 9) {
+            0 => format!(" odd {MAX_ODD_RECORD_BYTES}"),
+            1 => format!(" odd {}", sim.random(1_000, MAX_ODD_RECORD_BYTES)),
+            _ => String::new(),
+        };
+        schedule_event(sim, time_s, line + &odd);
         if kind == "service" || sim.random(0, 9) == 0 {
             let at = time_s + sim.random(5, 80);
             schedule_event(sim, at, format!("cancel {id}"));
@@ -106,7 +114,7 @@
         job: sim.random(1, MAX_FAULT_JOB),
         span,
     };
-    match sim.random(0, 50) {
+    match sim.random(0, 52) {
         kind @ 0..=24 => cluster_fault(sim, kind, &fault),
         kind => message_or_user_fault(sim, kind, &fault),
     }
@@ -187,6 +195,11 @@
         44 => format!("lost_renewals {percent} for {span}"),
         45..=47 => format!("late_commands {percent} for {}", span * 2),
         48..=50 => format!("repeat_commands {percent} for {}", span * 2),
+        51 | 52 => {
+            // An agent keeps the highest token that it has seen.
+            let epoch = ["same", "next"][sim.random(0, 1) as usize];
+            format!("reboot of:req-{job:06} epoch {epoch} token kept sequence kept")
+        }
         _ => format!("deaf of:req-{job:06} for {span}"),
     }
 }
