A campaign does not repeat the write of the leader key under a lease that has ended

Change: a write that the store rejects as invalid ends the campaign, with a warning; the next one begins after 300 ms with a new lease.

--- a/crates/hopyoke-emulator/src/kv_store.rs
+++ b/crates/hopyoke-emulator/src/kv_store.rs
@@ -70,6 +70,10 @@
     max_value_bytes: Cell<Option<usize>>,
     /// Prefix of the keys whose puts are answered with 400.
     rejected_prefix: RefCell<Option<String>>,
+    /// Whether the next lease ends as soon as it is granted.
+    next_lease_ends: Cell<bool>,
+    /// Number of transactions rejected because of a lease that had ended.
+    pub lease_rejections: Cell<u64>,
     /// Number of requests received.
     pub request_count: Cell<u64>,
     /// Number of mutations received, including those of failed transactions, as the protocol counts them.
@@ -172,6 +176,11 @@
         self.max_value_bytes.set(Some(bytes));
     }
 
+    /// Ends the next lease as soon as it is granted.
+    pub fn end_next_lease(&self) {
+        self.next_lease_ends.set(true);
+    }
+
     /// Answers every transaction that writes a key with this prefix with 400, as one that is invalid.
     pub fn reject_puts(&self, prefix: &str) {
         *self.rejected_prefix.borrow_mut() = Some(prefix.to_owned());
@@ -330,6 +339,7 @@
             .iter()
             .any(|m| m.lease.as_ref().is_some_and(lease_is_gone))
         {
+            self.lease_rejections.set(self.lease_rejections.get() + 1);
             return Response::msgpack(400, &json!({ "error": "no such lease" }));
         }
         let max_value_bytes = self.max_value_bytes.get().unwrap_or(MAX_VALUE_BYTES);
@@ -366,7 +376,9 @@
         inner.last_lease += 1;
         let id = inner.last_lease;
         let expires_at = runtime::now() + ttl;
-        inner.leases.insert(id, Lease { expires_at, ttl });
+        if !self.next_lease_ends.replace(false) {
+            inner.leases.insert(id, Lease { expires_at, ttl });
+        }
         Response::msgpack(200, &json!({ "tether": id }))
     }
 
--- a/crates/hopyoke/src/leadership/election.rs
+++ b/crates/hopyoke/src/leadership/election.rs
@@ -16,11 +16,14 @@
 use hopyoke_types::{FencingToken, Micros, ModRevision};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 /// How long a leader that stepped down because of isolation waits before it campaigns again.
 const STEP_DOWN_BACKOFF: Micros = Micros::from_secs(12);
 
+/// Delay before a campaign is repeated that got no lease, or whose write was rejected.
+const CAMPAIGN_RETRY_INTERVAL: Micros = Micros::from_millis(300);
+
 /// Value of the leader key and of every shard key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct LeaseHolder {
@@ -204,7 +207,7 @@
         Ok(lease) => lease,
         Err(e) => {
             debug!(error = %e, "failed to obtain leader lease");
-            runtime::sleep(Micros::from_millis(300)).await;
+            runtime::sleep(CAMPAIGN_RETRY_INTERVAL).await;
             return Acquisition::Failed(e);
         }
     };
@@ -219,7 +222,7 @@
         let client = node.store.critical().with_deadline(valid_until);
         match client.txn(compares, mutations.clone()).await {
             // The transaction was not executed: retry with the same lease while at least half of its TTL is left.
-            Err(e) if e.is_refusal() && runtime::now() < valid_until - Micros(ttl.0 / 2) => {
+            Err(e) if e.may_pass() && runtime::now() < valid_until - Micros(ttl.0 / 2) => {
                 debug!(error = %e, "failed to write leader key, retrying");
                 runtime::sleep(Micros::from_millis(100) + jitter(Micros::from_millis(150))).await;
             }
@@ -245,6 +248,11 @@
         }
         Err(e) => {
             let _ = node.store.critical().release(lease).await;
+            if matches!(e, StoreError::Invalid(_)) {
+                // The lease has expired early, or the keys don't suit the store.
+                warn!(error = %e, "key-value store rejects the write of the leader key");
+                runtime::sleep(CAMPAIGN_RETRY_INTERVAL).await;
+            }
             Acquisition::Failed(e)
         }
     }
--- a/crates/hopyoke/src/store/error.rs
+++ b/crates/hopyoke/src/store/error.rs
@@ -47,4 +47,9 @@
                 | StoreError::DeadlineExceeded
         )
     }
+
+    /// Returns whether the request was certainly not executed, for a reason that may pass: it can be repeated as it is.
+    pub(crate) fn may_pass(&self) -> bool {
+        self.is_refusal() && !matches!(self, StoreError::Invalid(_))
+    }
 }
