Outcomes of batches stand in a module of their own

The outcomes move to `persist/outcomes.rs`, that of a record's update to a function of its own, the retry delay gets a name.

--- a/crates/hopyoke-scheduler/src/persist/records.rs
+++ b/crates/hopyoke-scheduler/src/persist/records.rs
@@ -1,11 +1,11 @@
 //! Writes of job records, registry pages and learned run times to the key-value store, in batches that
 //! use at most half of the store's write rate.
 
-use super::batch::{Batch, BatchError, RegistryPage, Write};
+use super::batch::{Batch, BatchError, Write};
 use super::rejected_writes::{RejectedWrites, Rejection, Selection, WriteKey};
 use crate::config::MAX_BATCH_BYTES;
-use crate::ledger::{Job, JobRecord};
-use crate::{Action, MachinePhase, Scheduler, SchedulerConfig};
+use crate::ledger::Job;
+use crate::{MachinePhase, Scheduler, SchedulerConfig};
 use hopyoke_types::Micros;
 use hopyoke_types::{FencingToken, JobId, MachineId, ModRevision};
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +34,9 @@
 /// Share of the leader's write rate that deferrable writes get while admission is saturated.
 const DEFERRABLE_SHARE: f64 = 0.3;
 
+/// Delay after a batch that failed for a reason that may pass.
+const RETRY_INTERVAL: Micros = Micros::from_millis(200);
+
 /// Most that a write adds to a transaction besides its value, in bytes of JSON: keys, revisions and field names.
 const WRITE_FRAME_BYTES: usize = 256;
 
@@ -60,6 +63,20 @@
         self.refilled_at = now;
     }
 
+    /// Handles the outcome of a batch of these writes, after which the next may be sent.
+    pub(super) fn batch_answered(
+        &mut self,
+        writes: &[Write],
+        result: &Result<ModRevision, BatchError>,
+        now: Micros,
+    ) {
+        match result {
+            Ok(_) => self.rejected.batch_applied(writes),
+            Err(BatchError::Invalid) => self.rejected.batch_rejected(writes, now),
+            Err(_) => self.retry_not_before = now + RETRY_INTERVAL,
+        }
+    }
+
     /// Marks a job whose record may have to be written.
     pub(crate) fn mark_dirty(&mut self, job: &JobId) {
         if !self.dirty.contains_key(job) {
@@ -356,147 +373,6 @@
             builder.push(write, 1, value_len);
         }
     }
-
-    /// Handles the outcome of a batch: the revision at which it was applied, or the error.
-    pub fn batch_completed(
-        &mut self,
-        batch: Batch,
-        result: Result<ModRevision, BatchError>,
-        now: Micros,
-    ) {
-        match &result {
-            Ok(revision) => {
-                self.command_tokens.write_applied(FencingToken(revision.0));
-                self.writes.rejected.batch_applied(&batch.writes);
-            }
-            Err(BatchError::Invalid) => self.writes.rejected.batch_rejected(&batch.writes, now),
-            Err(_) => self.writes.retry_not_before = now + Micros::from_millis(200),
-        }
-        for write in batch.writes {
-            match write {
-                Write::Update {
-                    job: id, record, ..
-                } => {
-                    let Some(job) = self.jobs.get_mut(&id) else {
-                        continue;
-                    };
-                    job.write_in_flight = false;
-                    match &result {
-                        Ok(mod_revision) => {
-                            let is_first_start = job.recorded_start_attempt.0 == 0;
-                            if *mod_revision > job.mod_revision {
-                                job.mod_revision = *mod_revision;
-                                job.recorded_done = record.done;
-                                job.recorded_start_attempt = record.start_attempt;
-                            }
-                            // Its tasks may start now. Acknowledgements can wait for the next heartbeat
-                            // responses.
-                            if is_first_start || job.is_gang() {
-                                let attempts =
-                                    job.attempts.values().flatten().map(|(m, _)| m.clone());
-                                self.commands_due.extend(attempts);
-                            }
-                        }
-                        Err(e) => self.reload_after_error(&id, e),
-                    }
-                }
-                Write::End { job: id, .. } => match &result {
-                    Ok(_) => {
-                        tracing::debug!(job = %id, "end of job recorded");
-                        self.job_removed(&id, now);
-                    }
-                    Err(e) => {
-                        if let Some(job) = self.jobs.get_mut(&id) {
-                            job.write_in_flight = false;
-                        }
-                        self.reload_after_error(&id, e);
-                    }
-                },
-                Write::Page { key, page, .. } => {
-                    self.page_write_completed(&key, page.as_ref(), &result)
-                }
-                Write::Term { .. } => {}
-                Write::LearnedRunTimes { key, .. } => {
-                    self.learned_page_written(key, result.is_ok())
-                }
-                Write::DeletePage { key } => {
-                    if result.is_err() {
-                        self.registry.write_not_applied(&key);
-                    }
-                }
-            }
-        }
-    }
-
-    fn page_write_completed(
-        &mut self,
-        key: &str,
-        page: Option<&RegistryPage>,
-        result: &Result<ModRevision, BatchError>,
-    ) {
-        let has_conflict = |pages: &[String]| pages.iter().any(|p| p == key);
-        match result {
-            Ok(mod_revision) => {
-                for id in self.registry.write_committed(key, *mod_revision, page) {
-                    if let Some(m) = self.machines.get_mut(&id)
-                        && !m.is_registered
-                    {
-                        m.is_registered = true;
-                        self.placement_schedule.request();
-                    }
-                }
-            }
-            Err(BatchError::Conflict { pages, .. }) if !has_conflict(pages) => {
-                self.registry.write_not_applied(key)
-            }
-            Err(BatchError::NotApplied) => self.registry.write_not_applied(key),
-            Err(BatchError::Invalid) => self.registry.write_rejected(key),
-            Err(_) => {
-                let (counter, token) = (&mut self.sequence_number, self.token);
-                self.registry
-                    .write_outcome_unknown(key, || page_key(counter, token));
-            }
-        }
-    }
-
-    /// Requests a reload of the job's record after a conflict on it or a write of unknown outcome.
-    fn reload_after_error(&mut self, id: &JobId, error: &BatchError) {
-        let must_reload = match error {
-            BatchError::Conflict { jobs, .. } => jobs.contains(id),
-            BatchError::LeadershipLost => false,
-            BatchError::NotApplied | BatchError::Invalid => false,
-            BatchError::OutcomeUnknown => true,
-        };
-        if let Some(job) = self.jobs.get_mut(id)
-            && must_reload
-        {
-            // Blocks further writes of the record until it has been reloaded.
-            job.write_in_flight = true;
-            self.actions
-                .push_back(Action::ReloadRecord { job: id.clone() });
-        }
-    }
-
-    /// Handles the result of [`Action::ReloadRecord`]. `None` if the record no longer exists.
-    pub fn record_reloaded(
-        &mut self,
-        id: JobId,
-        record: Option<(JobRecord, ModRevision)>,
-        now: Micros,
-    ) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.write_in_flight = false;
-        }
-        match record {
-            Some((record, mod_revision)) => self.job_record_changed(id, record, mod_revision, now),
-            None => self.job_removed(&id, now),
-        }
-    }
-
-    /// Handles a failed reload of a record: it is repeated.
-    pub fn record_reload_failed(&mut self, id: JobId) {
-        self.actions.push_back(Action::ReloadRecord { job: id });
-    }
 }
 
 /// Returns the key of the next write of a job's record.
@@ -509,7 +385,7 @@
 }
 
 /// Returns a key that no page has had before: it contains the fencing token and a counter.
-fn page_key(counter: &mut u64, token: FencingToken) -> String {
+pub(super) fn page_key(counter: &mut u64, token: FencingToken) -> String {
     *counter += 1;
     format!("{token}-{counter}")
 }
