--- a/crates/hopyoke-protocol/src/lib.rs
+++ b/crates/hopyoke-protocol/src/lib.rs
@@ -6,13 +6,10 @@
 //! Names of durations end in `_s` (seconds) or `_ms` (milliseconds), names of sizes in `_gb` (gigabytes).
 
 pub mod cloud;
-mod json_size;
 pub mod state;
 pub mod user;
 pub mod worker;
 
-pub use json_size::json_len;
-
 use serde::de::DeserializeOwned;
 
 /// Maximum nesting depth of maps and lists that [`decode`] accepts.
--- a/crates/hopyoke-protocol/src/user.rs
+++ b/crates/hopyoke-protocol/src/user.rs
@@ -1,6 +1,5 @@
 //! Messages of the user API: job submissions and job status.
 
-mod machine_types;
 mod submission;
 
 pub use submission::{MAX_TASKS, SubmissionError};
@@ -74,7 +73,7 @@
     #[serde(rename = "pull_gb")]
     pub image_gb: f64,
     /// Instance types that are allowed, at most 64. `None` allows all. In a stored description digests may stand for long
-    /// names, see [`JobSpec::allows_machine_type`].
+    /// names (package `hopyoke-stored-form`).
     #[serde(rename = "rigs", default)]
     pub machine_types: Option<Vec<String>>,
     /// Zone in which all tasks must run, at most 200 bytes. `None` allows all zones.
--- a/crates/hopyoke-scheduler/src/ledger/job.rs
+++ b/crates/hopyoke-scheduler/src/ledger/job.rs
@@ -4,8 +4,8 @@
 use crate::ledger::{ImageKey, WaitReason};
 use crate::resources::Resources;
 use crate::task_ranges::{RANGE_CHARS, TaskRanges};
-use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::{JobKind, JobSpec, JobState};
+use hopyoke_stored_form::{json_len, machine_types};
 use hopyoke_types::Micros;
 use hopyoke_types::{Attempt, MachineId, ModRevision};
 use serde::{Deserialize, Serialize};
@@ -61,7 +61,7 @@
     /// Creates the record of a newly accepted job.
     pub fn accepted(spec: JobSpec, accepted_us: u64) -> JobRecord {
         JobRecord {
-            spec: Rc::new(spec.into_stored_form()),
+            spec: Rc::new(machine_types::stored_form(spec)),
             accepted_us,
             done: TaskRanges::default(),
             start_attempt: Attempt::default(),
@@ -80,8 +80,8 @@
 
     /// Returns the record with its spec in the stored form. Earlier versions stored specs as submitted.
     fn in_stored_form(mut self) -> JobRecord {
-        if !self.spec.is_in_stored_form() {
-            self.spec = Rc::new(Rc::unwrap_or_clone(self.spec).into_stored_form());
+        if !machine_types::is_stored_form(&self.spec) {
+            self.spec = Rc::new(machine_types::stored_form(Rc::unwrap_or_clone(self.spec)));
         }
         self
     }
--- a/crates/hopyoke-scheduler/src/persist/batch.rs
+++ b/crates/hopyoke-scheduler/src/persist/batch.rs
@@ -2,8 +2,8 @@
 
 use super::rejected_writes::WriteKey;
 use crate::ledger::{EndRecord, JobRecord};
-use hopyoke_protocol::json_len;
 use hopyoke_run_times::{Page, PageKey};
+use hopyoke_stored_form::json_len;
 use hopyoke_types::{FencingToken, JobId, MachineId, ModRevision};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/hopyoke-scheduler/src/placement/request.rs
+++ b/crates/hopyoke-scheduler/src/placement/request.rs
@@ -8,6 +8,7 @@
 use crate::placement::sole_choice::SoleChoiceTypes;
 use crate::resources::Resources;
 use hopyoke_protocol::user::{JobKind, JobSpec, Priority};
+use hopyoke_stored_form::machine_types;
 use hopyoke_types::JobId;
 use std::rc::Rc;
 
@@ -140,7 +141,7 @@
     fn type_eligibility(&self, spec: &JobSpec) -> impl Iterator<Item = bool> {
         let task = Resources::of_task(spec);
         self.types.iter().map(move |t| {
-            spec.allows_machine_type(&t.name) && task.fits_in(&Resources::of_machine_type(t))
+            machine_types::allows(spec, &t.name) && task.fits_in(&Resources::of_machine_type(t))
         })
     }
 
--- a/crates/hopyoke-scheduler/src/resources.rs
+++ b/crates/hopyoke-scheduler/src/resources.rs
@@ -2,6 +2,7 @@
 
 use hopyoke_protocol::cloud::MachineType;
 use hopyoke_protocol::user::{JobKind, JobSpec};
+use hopyoke_stored_form::machine_types;
 use std::collections::BTreeSet;
 use std::ops::{Add, Sub};
 
@@ -147,7 +148,7 @@
     let task = Resources::of_task(spec);
     let usable: Vec<&MachineType> = types
         .iter()
-        .filter(|t| spec.allows_machine_type(&t.name))
+        .filter(|t| machine_types::allows(spec, &t.name))
         .filter(|t| {
             task.fits_in(&Resources::of_machine_type(t)) && is_in_allowed_zone(spec, t, zones)
         })
--- a/crates/hopyoke-scheduler/src/run_times/mod.rs
+++ b/crates/hopyoke-scheduler/src/run_times/mod.rs
@@ -3,9 +3,9 @@
 
 use crate::ledger::MachinePhase;
 use crate::{Scheduler, Tuning};
-use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::{JobKind, JobSpec};
 use hopyoke_run_times::{Limits, Page, PageKey, RunOutcome, Workload};
+use hopyoke_stored_form::json_len;
 use hopyoke_types::{Attempt, MachineId, Micros, TaskId};
 use std::collections::VecDeque;
 use std::rc::Rc;
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -3,11 +3,11 @@
 mod common;
 
 use common::config;
-use hopyoke_protocol::json_len;
 use hopyoke_protocol::state::{Compare, Mutation, Transaction};
 use hopyoke_protocol::user::{JobKind, JobSpec};
 use hopyoke_protocol::worker::Heartbeat;
 use hopyoke_scheduler::{Batch, Job, JobRecord, Scheduler, SchedulerConfig, TaskRanges, Write};
+use hopyoke_stored_form::{json_len, machine_types};
 use hopyoke_types::{Attempt, FencingToken, JobId, MachineId, Micros, ModRevision};
 use proptest::prelude::*;
 use serde_json::{Value, json};
@@ -62,8 +62,8 @@
     assert!(json_len(&stored_before) > 7_500);
     let written = record_of_first_start(stored_before);
     assert!(json_len(&written) < 1_500, "{}", json_len(&written));
-    assert!(written.spec.allows_machine_type("std"));
-    assert!(written.spec.allows_machine_type(&"\u{1}".repeat(180)));
+    assert!(machine_types::allows(&written.spec, "std"));
+    assert!(machine_types::allows(&written.spec, &"\u{1}".repeat(180)));
 }
 
 /// Returns a job of as many bytes in JSON as any: its names consist of control characters.
--- a/crates/hopyoke-protocol/tests/json_size.rs
+++ b/crates/hopyoke-stored-form/tests/json_size.rs
@@ -1,6 +1,6 @@
 //! Tests of sizes in JSON: at least what a JSON encoder writes, with and without escapes for characters beyond ASCII.
 
-use hopyoke_protocol::json_len;
+use hopyoke_stored_form::json_len;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
--- a/crates/hopyoke-protocol/tests/machine_type_lists.rs
+++ b/crates/hopyoke-stored-form/tests/machine_type_lists.rs
@@ -1,7 +1,8 @@
 //! Tests of lists of machine types in stored descriptions: a long list is condensed, and allows the same types as before.
 
-use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::JobSpec;
+use hopyoke_stored_form::json_len;
+use hopyoke_stored_form::machine_types::{allows, is_stored_form, stored_form};
 use hopyoke_types::JobId;
 use proptest::prelude::*;
 
@@ -24,14 +25,14 @@
     let submitted = spec(names);
     assert!(submitted.check().is_ok());
     assert!(json_len(&submitted) > 8 * 1024);
-    let stored = submitted.clone().into_stored_form();
+    let stored = stored_form(submitted.clone());
     assert!(json_len(&stored) < 900, "{}", json_len(&stored));
     assert!(stored.check().is_ok());
     for name in submitted.machine_types.iter().flatten() {
-        assert!(stored.allows_machine_type(name));
+        assert!(allows(&stored, name));
     }
-    assert!(!stored.allows_machine_type("other"));
-    assert!(!stored.allows_machine_type(&"\u{1}".repeat(180)));
+    assert!(!allows(&stored, "other"));
+    assert!(!allows(&stored, &"\u{1}".repeat(180)));
 }
 
 #[test]
@@ -41,18 +42,18 @@
             .into();
         40
     ]);
-    assert_eq!(submitted.clone().into_stored_form(), submitted);
+    assert_eq!(stored_form(submitted.clone()), submitted);
 }
 
 #[test]
 fn short_names_stay_readable_beside_long_ones() {
     let mut names = vec!["std".to_owned(), "#odd".to_owned()];
     names.extend((0..15).map(|n| "\u{1}".repeat(180 + n)));
-    let stored = spec(names).into_stored_form();
+    let stored = stored_form(spec(names));
     let stored_names = stored.machine_types.clone().expect("names");
     assert_eq!(stored_names[0], "std");
     assert_ne!(stored_names[1], "#odd");
-    assert!(stored.allows_machine_type("#odd"));
+    assert!(allows(&stored, "#odd"));
 }
 
 /// Any name: short or long, of control characters, quotes, backslashes, digits or other scripts, or like a digest.
@@ -71,12 +72,12 @@
     #[test]
     fn stored_form_allows_the_same_types(names in prop::collection::vec(name(), 0..64), others in prop::collection::vec(name(), 0..8)) {
         let submitted = spec(names.clone());
-        let stored = submitted.clone().into_stored_form();
+        let stored = stored_form(submitted.clone());
         for name in names.iter().chain(&others) {
-            prop_assert_eq!(stored.allows_machine_type(name), submitted.allows_machine_type(name), "{}", name);
+            prop_assert_eq!(allows(&stored, name), allows(&submitted, name), "{}", name);
         }
-        prop_assert!(stored.is_in_stored_form());
-        prop_assert_eq!(stored.clone().into_stored_form(), stored.clone());
+        prop_assert!(is_stored_form(&stored));
+        prop_assert_eq!(stored_form(stored.clone()), stored.clone());
         prop_assert!(json_len(&stored) < MAX_CONDENSED_BYTES);
     }
 }
--- a/crates/hopyoke-workflow/src/record.rs
+++ b/crates/hopyoke-workflow/src/record.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{RunId, StepNo};
 use crate::plan::Plan;
-use hopyoke_protocol::json_len;
+use hopyoke_stored_form::json_len;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
--- a/crates/hopyoke-workflow/tests/properties.rs
+++ b/crates/hopyoke-workflow/tests/properties.rs
@@ -4,8 +4,8 @@
 #[expect(dead_code, reason = "the scenario tests use more of the model")]
 mod model;
 
-use hopyoke_protocol::json_len;
 use hopyoke_protocol::user::JobSpec;
+use hopyoke_stored_form::json_len;
 use hopyoke_types::{JobId, Micros};
 use hopyoke_workflow::{Head, OnError, Plan, PlanPage, PlanStep, RunId, RunState, StepNo};
 use model::{FAULTS, JobBehavior, Model};
