--- a/crates/hopyoke-scheduler/tests/common/mod.rs
+++ b/crates/hopyoke-scheduler/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Set-up that several tests share.
 
-use hopyoke_scheduler::{SchedulerConfig, Team};
+#![allow(dead_code, reason = "no test uses all helpers")]
+
+use hopyoke_scheduler::{SchedulerConfig, TaskRanges, Team};
 use hopyoke_types::Micros;
 
 /// Returns the configuration of a cluster with one zone, `a`, and one team, `crew`.
@@ -22,3 +24,12 @@
         response_margin: Micros::from_millis(500),
     }
 }
+
+/// Returns a set of task numbers.
+pub(crate) fn set_of(numbers: impl IntoIterator<Item = u32>) -> TaskRanges {
+    let mut set = TaskRanges::default();
+    for x in numbers {
+        set.insert(x);
+    }
+    set
+}
--- a/crates/hopyoke-scheduler/tests/record_size.rs
+++ b/crates/hopyoke-scheduler/tests/record_size.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::config;
+use common::{config, set_of};
 use hopyoke_protocol::state::{Compare, Mutation, Transaction};
 use hopyoke_protocol::user::{JobKind, JobSpec};
 use hopyoke_protocol::worker::Heartbeat;
@@ -95,14 +95,6 @@
     json_len(&job.record())
 }
 
-fn set_of(numbers: impl IntoIterator<Item = u32>) -> TaskRanges {
-    let mut set = TaskRanges::default();
-    for x in numbers {
-        set.insert(x);
-    }
-    set
-}
-
 /// Guards against a record that outgrows the store's largest value as tasks complete out of order, beside a long
 /// description: here all odd ones among those that placement considers at once.
 #[test]
--- a/crates/hopyoke-scheduler/tests/task_ranges.rs
+++ b/crates/hopyoke-scheduler/tests/task_ranges.rs
@@ -1,17 +1,12 @@
 //! Tests of the stored form of task number sets: it is short, and decoding restores the set.
 
+mod common;
+
+use common::set_of;
 use hopyoke_protocol::{decode, encode};
 use hopyoke_scheduler::TaskRanges;
 use proptest::prelude::*;
 
-fn set_of(numbers: impl IntoIterator<Item = u32>) -> TaskRanges {
-    let mut set = TaskRanges::default();
-    for x in numbers {
-        set.insert(x);
-    }
-    set
-}
-
 #[test]
 fn scattered_set_of_a_large_job_fits_a_record() {
     // As a list, the 12,500 ranges would take 175,000 characters.
